Set up the Maven build and the shared types

Cause: the repository was empty. Change: seven modules, formatter, Google's lint rules with house rules beside them, errors with codes, the fleet document and the interface of the platform client, the design page. Conclusion: parts can be built side by side against these types.

--- /dev/null
+++ b/cli/src/main/java/org/lentilsail/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.lentilsail.cli;
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/platform/Change.java
@@ -0,0 +1,13 @@
+package org.lentilsail.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+
+/**
+ * One change of a key.
+ *
+ * @param key the key
+ * @param value the new value, empty for a deletion
+ * @param revision revision of the change
+ */
+public record Change(String key, Optional<JsonNode> value, long revision) {}
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/fleet/WaveProgress.java
@@ -0,0 +1,32 @@
+package org.lentilsail.model.fleet;
+
+import java.util.Set;
+
+/**
+ * Tells how far a maintenance wave has come.
+ *
+ * @param wave name of the wave record
+ * @param recordRevision revision of the wave record that this run belongs to
+ * @param startedMillis wall clock time of the start in ms since the Unix epoch
+ * @param done VMs that are back in service after maintenance
+ * @param failed VMs that did not come back
+ * @param halted whether failures have halted the wave
+ * @param changedMillis wall clock time of the last failure, halt or resumption
+ * @param finishedMillis wall clock time of the end, 0 while the wave runs
+ */
+public record WaveProgress(
+    String wave,
+    long recordRevision,
+    long startedMillis,
+    Set<String> done,
+    Set<String> failed,
+    boolean halted,
+    long changedMillis,
+    long finishedMillis) {
+
+  /** Copies the sets, so that the progress cannot change. */
+  public WaveProgress {
+    done = Set.copyOf(done);
+    failed = Set.copyOf(failed);
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/time/PausedTime.java
@@ -0,0 +1,47 @@
+package org.lentilsail.model.time;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Stands still until it is advanced; drives scenario tests and measurements. */
+public final class PausedTime implements TimeSource {
+  /** Nanoseconds in a millisecond. */
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Wall clock time at the origin, in milliseconds since the Unix epoch. */
+  private final long originMillis;
+
+  /** Time since the origin in nanoseconds. */
+  private final AtomicLong elapsedNanos = new AtomicLong();
+
+  /**
+   * Creates a paused clock.
+   *
+   * @param originMillis wall clock time at which it stands, in milliseconds since the Unix epoch
+   */
+  public PausedTime(final long originMillis) {
+    this.originMillis = originMillis;
+  }
+
+  /**
+   * Moves both clocks forward.
+   *
+   * @param step how far; negative steps are refused
+   */
+  public void advance(final Duration step) {
+    if (step.isNegative()) {
+      throw new IllegalArgumentException("a clock cannot be moved back by " + step);
+    }
+    elapsedNanos.addAndGet(step.toNanos());
+  }
+
+  @Override
+  public long wallMillis() {
+    return originMillis + elapsedNanos.get() / NANOS_PER_MILLI;
+  }
+
+  @Override
+  public long nanos() {
+    return elapsedNanos.get();
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/time/SystemTime.java
@@ -0,0 +1,14 @@
+package org.lentilsail.model.time;
+
+/** Reads the clocks of the runtime. */
+final class SystemTime implements TimeSource {
+  @Override
+  public long wallMillis() {
+    return System.currentTimeMillis();
+  }
+
+  @Override
+  public long nanos() {
+    return System.nanoTime();
+  }
+}
--- /dev/null
+++ b/model/src/test/java/org/lentilsail/model/time/PausedTimeTest.java
@@ -0,0 +1,25 @@
+package org.lentilsail.model.time;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a test clock that moves by itself or backwards. */
+class PausedTimeTest {
+  @Test
+  void advancesBothClocksByTheSameStep() {
+    final PausedTime time = new PausedTime(1_000);
+    time.advance(Duration.ofMillis(250));
+    assertThat(time.wallMillis(), is(1_250L));
+    assertThat(time.nanos(), is(250_000_000L));
+  }
+
+  @Test
+  void refusesToMoveBack() {
+    final PausedTime time = new PausedTime(0);
+    assertThrows(IllegalArgumentException.class, () -> time.advance(Duration.ofMillis(-1)));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lentilsail/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for outside systems and the load tool; not part of the product. */
+package org.lentilsail.standin;
