Add the HTTP caller and the interfaces between the parts

Cause: entry, platform client and command line all send HTTP requests and have to know whether anything was sent. Change: HttpCaller on Undertow's client with exclusive connections; types that the parts share. Conclusion: a connection returns to the pool only after a complete response.

--- /dev/null
+++ b/library/src/main/java/org/lentilsail/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP interface: records, fleet, explanations, state dump, metrics and health. */
+package org.lentilsail.admin;
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration: acceptance of records, distribution to all daemons, and the present snapshot. */
+package org.lentilsail.config;
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/http/CallInProgress.java
@@ -0,0 +1,139 @@
+package org.lentilsail.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * Follows one call from the connection to the complete response. The connection goes back to the
+ * pool only after a complete response; in every other case it is closed, so a late response cannot
+ * reach another call.
+ */
+final class CallInProgress {
+  /** The call. */
+  private final HttpCall call;
+
+  /** Where the connection goes after a complete response. */
+  private final ConnectionPool pool;
+
+  /** Completed with the response or the failure. */
+  private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
+
+  /** The connection in use, null before there is one. */
+  private final AtomicReference<ClientConnection> connection = new AtomicReference<>();
+
+  /** Whether any byte of the request may have been written. */
+  private volatile boolean written;
+
+  CallInProgress(final HttpCall call, final ConnectionPool pool) {
+    this.call = call;
+    this.pool = pool;
+    response.whenComplete(
+        (result, failure) -> {
+          if (failure != null) {
+            closeConnection();
+          }
+        });
+  }
+
+  CompletableFuture<HttpResponse> response() {
+    return response;
+  }
+
+  void limitTime(final XnioIoThread thread) {
+    final XnioExecutor.Key key =
+        thread.executeAfter(
+            () ->
+                fail(
+                    HttpFailure.TIMEOUT,
+                    "no complete response from "
+                        + call.target()
+                        + " within "
+                        + call.timeout().toMillis()
+                        + " ms"),
+            call.timeout().toMillis(),
+            TimeUnit.MILLISECONDS);
+    response.whenComplete((result, failure) -> key.remove());
+  }
+
+  void send(final ClientConnection target) {
+    connection.set(target);
+    if (response.isDone()) {
+      closeConnection();
+      return;
+    }
+    target
+        .getIoThread()
+        .execute(
+            () -> {
+              if (response.isDone()) {
+                closeConnection();
+                return;
+              }
+              written = true;
+              target.sendRequest(ClientRequests.of(call), exchangeCallback());
+            });
+  }
+
+  void fail(final HttpFailure failure, final String message) {
+    response.completeExceptionally(new HttpCallException(failure, written, message));
+  }
+
+  private ClientCallback<ClientExchange> exchangeCallback() {
+    return new ClientCallback<>() {
+      @Override
+      public void completed(final ClientExchange exchange) {
+        exchange.setResponseListener(responseCallback());
+        RequestBodyWriter.write(
+            exchange.getRequestChannel(), call.body(), error -> fail(HttpFailure.BROKEN, error));
+      }
+
+      @Override
+      public void failed(final IOException error) {
+        fail(HttpFailure.BROKEN, "connection to " + call.target() + " broke: " + error);
+      }
+    };
+  }
+
+  private ClientCallback<ClientExchange> responseCallback() {
+    return new ClientCallback<>() {
+      @Override
+      public void completed(final ClientExchange exchange) {
+        new ResponseBodyReader(
+                exchange, call, complete -> succeed(exchange, complete), CallInProgress.this::fail)
+            .start();
+      }
+
+      @Override
+      public void failed(final IOException error) {
+        fail(HttpFailure.BROKEN, "no response from " + call.target() + ": " + error);
+      }
+    };
+  }
+
+  private void succeed(final ClientExchange exchange, final HttpResponse complete) {
+    final ClientConnection used = connection.getAndSet(null);
+    if (used != null) {
+      if (ClientRequests.isReusable(exchange.getResponse())) {
+        pool.give(call.target(), used);
+      } else {
+        IoUtils.safeClose(used);
+      }
+    }
+    response.complete(complete);
+  }
+
+  private void closeConnection() {
+    final ClientConnection open = connection.getAndSet(null);
+    if (open != null) {
+      open.getIoThread().execute(() -> IoUtils.safeClose(open));
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/http/UndertowHttpCaller.java
@@ -0,0 +1,84 @@
+package org.lentilsail.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.URI;
+import java.util.concurrent.CompletableFuture;
+import org.lentilsail.model.time.TimeSource;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+
+/** Sends HTTP requests by Undertow's client; thread-safe. */
+public final class UndertowHttpCaller implements HttpCaller {
+  /** Size in bytes of a network buffer. */
+  private static final int BUFFER_BYTES = 16 * 1024;
+
+  /** Options of the connections. */
+  private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
+  /** Threads that carry the traffic; owned by the creator of this object. */
+  private final XnioWorker worker;
+
+  /** Network buffers. */
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+
+  /** Idle connections. */
+  private final ConnectionPool pool;
+
+  /**
+   * Creates a caller.
+   *
+   * @param worker threads that carry the traffic; not closed by this object
+   * @param time clock that ages idle connections
+   */
+  public UndertowHttpCaller(final XnioWorker worker, final TimeSource time) {
+    this.worker = worker;
+    this.pool = new ConnectionPool(time);
+  }
+
+  @Override
+  public CompletableFuture<HttpResponse> call(final HttpCall call) {
+    final CallInProgress progress = new CallInProgress(call, pool);
+    progress.limitTime(worker.getIoThread());
+    pool.take(call.target()).ifPresentOrElse(progress::send, () -> connect(call, progress));
+    return progress.response();
+  }
+
+  @Override
+  public void close() {
+    pool.close();
+    buffers.close();
+  }
+
+  private void connect(final HttpCall call, final CallInProgress progress) {
+    final URI uri =
+        URI.create("http://" + call.target().getHostString() + ":" + call.target().getPort());
+    UndertowClient.getInstance()
+        .connect(
+            new ClientCallback<>() {
+              @Override
+              public void completed(final ClientConnection connection) {
+                if (progress.response().isDone()) {
+                  IoUtils.safeClose(connection);
+                } else {
+                  progress.send(connection);
+                }
+              }
+
+              @Override
+              public void failed(final IOException error) {
+                progress.fail(HttpFailure.CONNECT, "cannot connect to " + uri + ": " + error);
+              }
+            },
+            uri,
+            worker,
+            buffers,
+            OPTIONS);
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP calls by Undertow's client, with a proof of whether anything was sent. */
+package org.lentilsail.http;
--- a/model/src/main/java/org/lentilsail/model/fleet/WaveProgress.java
+++ b/model/src/main/java/org/lentilsail/model/fleet/WaveProgress.java
@@ -6,7 +6,7 @@
  * Tells how far a maintenance wave has come.
  *
  * @param wave name of the wave record
- * @param recordRevision revision of the wave record that this run belongs to
+ * @param run number of the run of the wave record
  * @param startedMillis wall clock time of the start in ms since the Unix epoch
  * @param done VMs that are back in service after maintenance
  * @param failed VMs that did not come back
@@ -16,7 +16,7 @@
  */
 public record WaveProgress(
     String wave,
-    long recordRevision,
+    int run,
     long startedMillis,
     Set<String> done,
     Set<String> failed,
--- a/standin/src/main/java/org/lentilsail/standin/StandinMain.java
+++ b/standin/src/main/java/org/lentilsail/standin/StandinMain.java
@@ -1,15 +1,38 @@
 package org.lentilsail.standin;
 
-/** Starts the program. */
+import java.util.Arrays;
+import java.util.List;
+
+/** Stand-ins and the load tool: runs the subcommand that the first argument names. */
 public final class StandinMain {
+  /** Exit code for a wrong command line. */
+  private static final int EXIT_USAGE = 2;
+
+  /** The subcommands. */
+  private static final List<StandinCommand> COMMANDS = List.of();
+
   private StandinMain() {}
 
   /**
    * Runs the program.
    *
-   * @param args the command line
+   * @param args name of the subcommand and its arguments
+   * @throws Exception when the subcommand cannot go on
    */
-  public static void main(final String[] args) {
-    System.exit(0);
+  public static void main(final String[] args) throws Exception {
+    final int exitCode = run(args);
+    System.exit(exitCode);
+  }
+
+  private static int run(final String[] args) throws Exception {
+    for (final StandinCommand command : COMMANDS) {
+      if (args.length > 0 && command.name().equals(args[0])) {
+        return command.run(Arrays.copyOfRange(args, 1, args.length));
+      }
+    }
+    System.err.println(
+        "name a subcommand: "
+            + String.join(", ", COMMANDS.stream().map(StandinCommand::name).toList()));
+    return EXIT_USAGE;
   }
 }
