Add the platform stand-in

Cause: daemons and tests need a platform with conditional writes, leases, watches, a lagging list of VMs and faults. An entry VM is reported gone only when nothing listens at its address, because a paused daemon is not dead.

--- /dev/null
+++ b/standin/src/main/java/org/lentilsail/standin/platform/VmCaller.java
@@ -0,0 +1,103 @@
+package org.lentilsail.standin.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import org.lentilsail.http.HttpCall;
+import org.lentilsail.http.HttpCallException;
+import org.lentilsail.http.HttpCaller;
+import org.lentilsail.http.HttpFailure;
+import org.lentilsail.http.HttpResponse;
+
+/** Looks at the VMs and operates them through their own HTTP interface. */
+final class VmCaller {
+  /** Longest time of a call to a VM. */
+  private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+  /** Most bytes of a VM's answer. */
+  private static final int ANSWER_BYTES = 64 * 1024;
+
+  /** Reads answers. */
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** Sends the calls. */
+  private final HttpCaller http;
+
+  /** Takes the observations. */
+  private final VmTable table;
+
+  /** VMs with a look under way, so that a slow VM has one at a time. */
+  private final Set<String> underWay = ConcurrentHashMap.newKeySet();
+
+  VmCaller(final HttpCaller http, final VmTable table) {
+    this.http = http;
+    this.table = table;
+  }
+
+  void poll(final VmSettings vm) {
+    if (underWay.add(vm.vm())) {
+      final boolean worker = vm.role().equals(VmSettings.WORKER);
+      call(vm, "GET", worker ? "/standin/status" : "/live")
+          .whenComplete(
+              (response, failure) -> {
+                underWay.remove(vm.vm());
+                if (worker) {
+                  observeWorker(vm, response);
+                } else {
+                  observeEntry(vm, failure);
+                }
+              });
+    }
+  }
+
+  CompletableFuture<HttpResponse> operate(final VmSettings vm, final String operation) {
+    return call(vm, "POST", "/standin/" + operation);
+  }
+
+  private void observeWorker(final VmSettings vm, final HttpResponse response) {
+    if (response == null || response.status() != 200) {
+      table.silent(vm.vm());
+      return;
+    }
+    try {
+      final JsonNode status = JSON.readTree(response.body());
+      table.answered(
+          vm.vm(),
+          status.path("running").asInt(),
+          status.path("draining").asBoolean(),
+          status.path("bootGeneration").asLong());
+    } catch (final IOException error) {
+      table.silent(vm.vm());
+    }
+  }
+
+  /**
+   * An entry VM is gone only when nothing listens at its address any more. A paused daemon still
+   * listens, and reporting it as gone would break the rule that an entry VM that is gone is dead.
+   */
+  private void observeEntry(final VmSettings vm, final Throwable failure) {
+    final Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    if (cause instanceof HttpCallException error && error.failure() == HttpFailure.CONNECT) {
+      table.silent(vm.vm());
+    } else {
+      table.answered(vm.vm(), 0, false, 0);
+    }
+  }
+
+  private CompletableFuture<HttpResponse> call(
+      final VmSettings vm, final String method, final String path) {
+    final int colon = vm.address().lastIndexOf(':');
+    final InetSocketAddress target =
+        new InetSocketAddress(
+            vm.address().substring(0, colon), Integer.parseInt(vm.address().substring(colon + 1)));
+    return http.call(
+        new HttpCall(target, method, path, List.of(), new byte[0], TIMEOUT, ANSWER_BYTES));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lentilsail/standin/platform/VmSettings.java
@@ -0,0 +1,17 @@
+package org.lentilsail.standin.platform;
+
+/**
+ * One VM of the list.
+ *
+ * @param vm name of the VM
+ * @param role {@code worker} or {@code entry}
+ * @param address where its server listens, as {@code host:port}
+ * @param availabilityZone availability zone of the VM
+ * @param rack rack of the VM
+ * @param pool pool in which the VM starts
+ */
+public record VmSettings(
+    String vm, String role, String address, String availabilityZone, String rack, String pool) {
+  /** Role of a VM with a backend server. */
+  public static final String WORKER = "worker";
+}
