--- /dev/null
+++ b/library/src/test/java/org/lentilsail/ManualExecutor.java
@@ -0,0 +1,175 @@
+package org.lentilsail;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Delayed;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.lentilsail.model.time.PausedTime;
+
+/** Runs scheduled tasks on the caller's thread as a paused clock is advanced. */
+public final class ManualExecutor extends AbstractExecutorService
+    implements ScheduledExecutorService {
+  private final PausedTime time;
+  private final List<Task> tasks = new ArrayList<>();
+  private boolean held;
+  private boolean running;
+  private long sequence;
+
+  /** Creates an executor on a paused clock. */
+  public ManualExecutor(final PausedTime time) {
+    this.time = time;
+  }
+
+  /** Advances the clock step by step and runs what becomes due. */
+  public void advance(final Duration step) {
+    final long end = time.nanos() + step.toNanos();
+    runDue();
+    while (time.nanos() < end) {
+      final long next =
+          tasks.stream().mapToLong(task -> task.dueNanos).min().orElse(Long.MAX_VALUE);
+      time.advance(Duration.ofNanos(Math.min(end, Math.max(next, time.nanos())) - time.nanos()));
+      runDue();
+    }
+  }
+
+  /** Keeps tasks back, as a busy or paused thread does. */
+  public void hold() {
+    held = true;
+  }
+
+  /** Runs tasks again. */
+  public void release() {
+    held = false;
+    runDue();
+  }
+
+  @Override
+  public void execute(final Runnable command) {
+    add(command, 0, 0);
+    if (!running) {
+      runDue();
+    }
+  }
+
+  @Override
+  public ScheduledFuture<?> schedule(
+      final Runnable command, final long delay, final TimeUnit unit) {
+    return add(command, unit.toNanos(delay), 0);
+  }
+
+  @Override
+  public <V> ScheduledFuture<V> schedule(
+      final Callable<V> callable, final long delay, final TimeUnit unit) {
+    throw new UnsupportedOperationException("schedule a Runnable");
+  }
+
+  @Override
+  public ScheduledFuture<?> scheduleAtFixedRate(
+      final Runnable command, final long initial, final long period, final TimeUnit unit) {
+    return add(command, unit.toNanos(initial), unit.toNanos(period));
+  }
+
+  @Override
+  public ScheduledFuture<?> scheduleWithFixedDelay(
+      final Runnable command, final long initial, final long delay, final TimeUnit unit) {
+    return add(command, unit.toNanos(initial), unit.toNanos(delay));
+  }
+
+  @Override
+  public void shutdown() {
+    tasks.clear();
+  }
+
+  @Override
+  public List<Runnable> shutdownNow() {
+    tasks.clear();
+    return List.of();
+  }
+
+  @Override
+  public boolean isShutdown() {
+    return false;
+  }
+
+  @Override
+  public boolean isTerminated() {
+    return false;
+  }
+
+  @Override
+  public boolean awaitTermination(final long timeout, final TimeUnit unit) {
+    return true;
+  }
+
+  private Task add(final Runnable command, final long delayNanos, final long periodNanos) {
+    final Task task = new Task(command, time.nanos() + delayNanos, periodNanos, sequence++);
+    tasks.add(task);
+    return task;
+  }
+
+  private void runDue() {
+    if (held || running) {
+      return;
+    }
+    running = true;
+    try {
+      Task next = nextDue();
+      while (next != null) {
+        tasks.remove(next);
+        next.command.run();
+        if (next.periodNanos > 0 && !next.isCancelled()) {
+          next.dueNanos = time.nanos() + next.periodNanos;
+          tasks.add(next);
+        }
+        next = nextDue();
+      }
+    } finally {
+      running = false;
+    }
+  }
+
+  private Task nextDue() {
+    return tasks.stream()
+        .filter(task -> task.dueNanos <= time.nanos())
+        .min(Comparator.<Task>comparingLong(task -> task.dueNanos).thenComparing(t -> t.order))
+        .orElse(null);
+  }
+
+  /** A task that waits for its time. */
+  private final class Task extends CompletableFuture<Object> implements ScheduledFuture<Object> {
+    private final Runnable command;
+    private final long periodNanos;
+    private final long order;
+    private long dueNanos;
+
+    Task(final Runnable command, final long dueNanos, final long periodNanos, final long order) {
+      this.command = command;
+      this.dueNanos = dueNanos;
+      this.periodNanos = periodNanos;
+      this.order = order;
+    }
+
+    @Override
+    public boolean cancel(final boolean interrupt) {
+      tasks.remove(this);
+      return super.cancel(interrupt);
+    }
+
+    @Override
+    public long getDelay(final TimeUnit unit) {
+      return unit.convert(dueNanos - time.nanos(), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public int compareTo(final Delayed other) {
+      return Long.compare(getDelay(TimeUnit.NANOSECONDS), other.getDelay(TimeUnit.NANOSECONDS));
+    }
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/lentilsail/platform/LeaseKeeperTest.java
@@ -0,0 +1,92 @@
+package org.lentilsail.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.lentilsail.ManualExecutor;
+import org.lentilsail.model.time.PausedTime;
+
+/** Guards against a holder that believes in its lease longer than the platform does. */
+class LeaseKeeperTest {
+  private static final Duration TTL = Duration.ofSeconds(5);
+
+  private final PausedTime time = new PausedTime(0);
+  private final FakePlatform platform = new FakePlatform(time);
+  private final ManualExecutor executor = new ManualExecutor(time);
+  private final List<String> events = new ArrayList<>();
+  private final LeaseKeeper keeper =
+      new LeaseKeeper(
+          platform,
+          time,
+          executor,
+          TTL,
+          Duration.ofSeconds(1),
+          new LeaseListener() {
+            @Override
+            public void held(final String lease) {
+              events.add("held");
+            }
+
+            @Override
+            public void lost(final String lease) {
+              events.add("lost");
+            }
+          });
+
+  @Test
+  void keepsTheLeaseByRenewals() {
+    keeper.start();
+    executor.advance(Duration.ofSeconds(20));
+    assertThat(keeper.lease().isPresent(), is(true));
+    assertThat(events, is(List.of("held")));
+  }
+
+  @Test
+  void givesUpOneSecondBeforeTheLeaseCanLapse() {
+    keeper.start();
+    executor.advance(Duration.ZERO);
+    final String lease = keeper.lease().orElseThrow();
+    platform.setDown(true);
+    executor.advance(Duration.ofMillis(3_900));
+    assertThat(keeper.lease(), is(Optional.of(lease)));
+    executor.advance(Duration.ofMillis(100));
+    assertThat(keeper.lease(), is(Optional.empty()));
+    assertThat(events, is(List.of("held", "lost")));
+  }
+
+  @Test
+  void knowsAfterPauseThatTheLeaseMayHaveLapsed() {
+    keeper.start();
+    executor.advance(Duration.ZERO);
+    time.advance(Duration.ofSeconds(6));
+    assertThat(keeper.lease(), is(Optional.empty()));
+    assertThat(keeper.remaining(), is(Duration.ZERO));
+  }
+
+  @Test
+  void countsFromBeforeTheRenewalWasSent() {
+    keeper.start();
+    executor.advance(Duration.ZERO);
+    executor.hold();
+    time.advance(Duration.ofSeconds(1));
+    keeper.tick();
+    time.advance(Duration.ofSeconds(2));
+    executor.release();
+    assertThat(keeper.remaining(), is(Duration.ofSeconds(2)));
+  }
+
+  @Test
+  void asksForAnotherLeaseAfterLoss() {
+    keeper.start();
+    executor.advance(Duration.ZERO);
+    final String first = keeper.lease().orElseThrow();
+    platform.revokeLease(first);
+    executor.advance(Duration.ofSeconds(3));
+    assertThat(events, is(List.of("held", "lost", "held")));
+  }
+}
