Add the peer network

Cause: entry daemons exchange messages without a coordination service. Change: TcpPeerNetwork sends framed MessagePack on one selector thread. Each daemon opens one connection to each peer for its own messages and the replies to them. A request counts as sent once any byte of it may have left; a request that times out in the queue is taken out of it. Frames are checked by skipping through them before anything is allocated.

--- /dev/null
+++ b/library/src/main/java/org/lentilsail/peer/InboundConnections.java
@@ -0,0 +1,119 @@
+package org.lentilsail.peer;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.lentilsail.model.error.LentilsailException;
+import org.tinylog.Logger;
+
+/** The connections that peers open to this daemon. They carry the peers' messages and replies. */
+final class InboundConnections implements ConnectionListener {
+  /** What the connections share. */
+  private final PeerContext context;
+
+  /** The peers. */
+  private final PeerDirectory directory;
+
+  /** Handlers of the messages. */
+  private final MessageHandlers handlers;
+
+  /** Learns who says hello. */
+  private final BiConsumer<KnownPeer, Hello> onHello;
+
+  /** The sender of each connection, null before its hello. */
+  private final Map<PeerConnection, KnownPeer> senders = new HashMap<>();
+
+  InboundConnections(
+      final PeerContext context,
+      final PeerDirectory directory,
+      final MessageHandlers handlers,
+      final BiConsumer<KnownPeer, Hello> onHello) {
+    this.context = context;
+    this.directory = directory;
+    this.handlers = handlers;
+    this.onHello = onHello;
+  }
+
+  void accept(final ServerSocketChannel server) {
+    try {
+      SocketChannel channel = server.accept();
+      while (channel != null) {
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        final PeerConnection connection = new PeerConnection(channel, this, context.metrics());
+        senders.put(connection, null);
+        connection.register(context.loop(), SelectionKey.OP_READ);
+        channel = server.accept();
+      }
+    } catch (final IOException error) {
+      Logger.warn("peer: a connection was not accepted: {}", error.getMessage());
+    }
+  }
+
+  void close() {
+    List.copyOf(senders.keySet()).forEach(connection -> connection.close("this daemon stops"));
+  }
+
+  @Override
+  public void connected(final PeerConnection connection) {
+    // Only connections that this daemon opens are reported here.
+  }
+
+  @Override
+  public void frame(final PeerConnection connection, final byte[] frame) {
+    final Envelope envelope = context.codec().open(frame);
+    final KnownPeer sender = senders.get(connection);
+    if (sender == null) {
+      greet(connection, envelope);
+    } else if (context.filter().passes(sender.id(), context.self())) {
+      directory.hear(sender);
+      handlers.dispatch(
+          sender.id(), envelope, reply -> answer(connection, envelope.request(), reply));
+    }
+  }
+
+  @Override
+  public void closed(final PeerConnection connection, final String reason) {
+    senders.remove(connection);
+  }
+
+  private void greet(final PeerConnection connection, final Envelope envelope) {
+    final Hello hello =
+        envelope.type().equals("hello") ? context.codec().read(envelope, Hello.class) : null;
+    if (hello == null || hello.id() == null || hello.id().equals(context.self())) {
+      throw new BadFrameException(
+          BadFrame.NO_HELLO, "a connection began with \"" + envelope.type() + "\", not a hello");
+    }
+    final KnownPeer sender = directory.peer(hello.id());
+    List.copyOf(senders.keySet()).stream()
+        .filter(other -> senders.get(other) == sender)
+        .forEach(other -> other.close("the peer has opened another connection"));
+    senders.put(connection, sender);
+    if (context.filter().passes(sender.id(), context.self())) {
+      directory.identify(sender, hello);
+      directory.hear(sender);
+      onHello.accept(sender, hello);
+    }
+  }
+
+  private void answer(
+      final PeerConnection connection, final long request, final PeerMessage reply) {
+    final Frame frame;
+    try {
+      frame = new Frame(context.codec().encode(reply, 0, request));
+    } catch (final LentilsailException error) {
+      answer(connection, request, new RequestFailed(error.getMessage()));
+      return;
+    }
+    if (connection.reserve(frame)) {
+      context.loop().execute(() -> connection.send(frame));
+    } else {
+      context.metrics().countDroppedMessage();
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/peer/PeerDirectory.java
@@ -0,0 +1,82 @@
+package org.lentilsail.peer;
+
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.lentilsail.model.time.TimeSource;
+import org.tinylog.Logger;
+
+/** Knows the peers and which of them are live. Changes happen on the loop's thread. */
+final class PeerDirectory {
+  /** Time in ns after which a peer that is not heard is silent; four heartbeats. */
+  private static final long LIVE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Clock of the liveness. */
+  private final TimeSource time;
+
+  /** Peers by id. */
+  private final NavigableMap<String, KnownPeer> peers = new ConcurrentSkipListMap<>();
+
+  /** Learn of changes. */
+  private final List<Consumer<PeerView>> listeners = new CopyOnWriteArrayList<>();
+
+  PeerDirectory(final TimeSource time) {
+    this.time = time;
+  }
+
+  KnownPeer peer(final String id) {
+    return peers.computeIfAbsent(id, key -> new KnownPeer(key, time.nanos()));
+  }
+
+  List<PeerView> views() {
+    final long now = time.nanos();
+    return peers.values().stream().map(peer -> peer.view(now)).toList();
+  }
+
+  void listen(final Consumer<PeerView> listener) {
+    listeners.add(listener);
+  }
+
+  void identify(final KnownPeer peer, final Hello hello) {
+    final boolean restarted = peer.incarnation() != 0 && peer.incarnation() != hello.incarnation();
+    peer.identify(hello);
+    if (restarted) {
+      Logger.info("peer: {} has started again", peer.id());
+      tell(peer);
+    }
+  }
+
+  void hear(final KnownPeer peer) {
+    final boolean wasLive = peer.isLive();
+    peer.hear(time.nanos());
+    if (!wasLive) {
+      Logger.info("peer: {} is live", peer.id());
+      tell(peer);
+    }
+  }
+
+  void checkSilence() {
+    final long now = time.nanos();
+    for (final KnownPeer peer : peers.values()) {
+      if (peer.isLive() && peer.silentNanos(now) >= LIVE_NANOS) {
+        peer.fallSilent();
+        Logger.info("peer: {} is silent", peer.id());
+        tell(peer);
+      }
+    }
+  }
+
+  private void tell(final KnownPeer peer) {
+    final PeerView view = peer.view(time.nanos());
+    for (final Consumer<PeerView> listener : listeners) {
+      try {
+        listener.accept(view);
+      } catch (final RuntimeException error) {
+        Logger.error(error, "peer: a listener failed");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/peer/TcpPeerNetwork.java
@@ -0,0 +1,264 @@
+package org.lentilsail.peer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.lentilsail.admin.StateSource;
+import org.lentilsail.model.time.TimeSource;
+import org.tinylog.Logger;
+
+/** Sends framed MessagePack over TCP between daemons, with heartbeats; thread-safe. */
+public final class TcpPeerNetwork implements PeerNetwork, StateSource, AutoCloseable {
+  /** Time in ns between two heartbeats. */
+  private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  /** Room for random digits after the milliseconds of an incarnation. */
+  private static final long INCARNATION_STEP = 1_000;
+
+  /** This daemon and its peers. */
+  private final PeerSettings settings;
+
+  /** What the heartbeats report. */
+  private final PeerStatus status;
+
+  /** Number that is different after each start. */
+  private final long incarnation;
+
+  /** What the connections share. */
+  private final PeerContext context;
+
+  /** The peers. */
+  private final PeerDirectory directory;
+
+  /** Handlers of messages. */
+  private final MessageHandlers handlers;
+
+  /** Connections that peers open. */
+  private final InboundConnections inbound;
+
+  /** Connections that this daemon opens, by peer. */
+  private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+
+  /** Learn from heartbeats. */
+  private final List<HeartbeatListener> heartbeatListeners = new CopyOnWriteArrayList<>();
+
+  /** Accepts connections. */
+  private final ServerSocketChannel server;
+
+  /** Monotonic time of the next heartbeat. */
+  private long nextHeartbeatNanos;
+
+  /**
+   * Binds the address, so that only one process has it, but accepts and opens no connection yet.
+   *
+   * @param settings this daemon and its peers
+   * @param status what the heartbeats report
+   * @param time clock
+   * @param registry takes the metrics
+   * @param filter decides which messages arrive
+   * @throws IOException when the address cannot be bound
+   */
+  public TcpPeerNetwork(
+      final PeerSettings settings,
+      final PeerStatus status,
+      final TimeSource time,
+      final PrometheusRegistry registry,
+      final LinkFilter filter)
+      throws IOException {
+    this.settings = settings;
+    this.status = status;
+    this.incarnation =
+        time.wallMillis() * INCARNATION_STEP
+            + ThreadLocalRandom.current().nextLong(INCARNATION_STEP);
+    this.nextHeartbeatNanos = time.nanos();
+    final PeerLoop loop = new PeerLoop("lentilsail-peers", time, this::tick, this::end);
+    final PeerMetrics metrics = new PeerMetrics(registry);
+    final PeerCodec codec = new PeerCodec();
+    context = new PeerContext(settings.self(), time, loop, codec, metrics, filter);
+    directory = new PeerDirectory(time);
+    handlers = new MessageHandlers(codec, metrics);
+    inbound = new InboundConnections(context, directory, handlers, this::greeted);
+    handlers.add("heartbeat", Heartbeat.class, this::beat);
+    server = ServerSocketChannel.open();
+    server.bind(settings.listen());
+  }
+
+  /**
+   * Begins to accept and to open connections; register the handlers before.
+   *
+   * @throws IOException when the address cannot be watched
+   */
+  public void start() throws IOException {
+    settings.peers().forEach((peer, address) -> links.put(peer, link(peer, address)));
+    context.loop().register(server, SelectionKey.OP_ACCEPT, () -> inbound.accept(server));
+    context.loop().start();
+    Logger.info("peer: {} accepts peers on {}", settings.self(), address());
+  }
+
+  /**
+   * Returns where peers connect.
+   *
+   * @return the address with the port in use
+   */
+  public InetSocketAddress address() {
+    return new InetSocketAddress(settings.listen().getAddress(), server.socket().getLocalPort());
+  }
+
+  /**
+   * Registers a listener for heartbeats; call it before the network starts.
+   *
+   * @param listener learns how far the senders' configuration reaches
+   */
+  public void onHeartbeat(final HeartbeatListener listener) {
+    heartbeatListeners.add(listener);
+  }
+
+  @Override
+  public String self() {
+    return settings.self();
+  }
+
+  @Override
+  public long incarnation() {
+    return incarnation;
+  }
+
+  @Override
+  public List<PeerView> peers() {
+    return directory.views();
+  }
+
+  @Override
+  public void send(final String peer, final PeerMessage message) {
+    final PeerLink link = links.get(peer);
+    if (link == null) {
+      context.metrics().countDroppedMessage();
+    } else {
+      link.send(message);
+    }
+  }
+
+  @Override
+  public <R extends PeerMessage> CompletableFuture<R> request(
+      final String peer,
+      final PeerMessage message,
+      final Duration timeout,
+      final Class<R> replyType) {
+    final PeerLink link = links.get(peer);
+    return link == null
+        ? CompletableFuture.failedFuture(
+            new PeerUnreachableException(peer, false, "it is not known"))
+        : link.request(message, timeout, replyType);
+  }
+
+  @Override
+  public <M extends PeerMessage> void handle(
+      final String name, final Class<M> type, final PeerHandler<M> handler) {
+    handlers.add(name, type, handler);
+  }
+
+  @Override
+  public void onPeerChange(final Consumer<PeerView> listener) {
+    directory.listen(listener);
+  }
+
+  @Override
+  public String stateName() {
+    return "peers";
+  }
+
+  @Override
+  public JsonNode state() {
+    final ObjectNode result = JsonNodeFactory.instance.objectNode();
+    result.put("self", self()).put("incarnation", incarnation);
+    final ArrayNode peers = result.putArray("peers");
+    for (final PeerView view : peers()) {
+      final PeerLink link = links.get(view.id());
+      peers
+          .addObject()
+          .put("id", view.id())
+          .put("incarnation", view.incarnation())
+          .put("availabilityZone", view.availabilityZone())
+          .put("region", view.region())
+          .put("live", view.live())
+          .put("connected", link != null && link.isOpen())
+          .put("platformConnected", view.platformConnected())
+          .put("silentMillis", view.silentMillis());
+    }
+    return result;
+  }
+
+  @Override
+  public void close() {
+    context.loop().close();
+  }
+
+  private PeerLink link(final String peer, final InetSocketAddress address) {
+    return new PeerLink(directory.peer(peer), address, context, this::greeting);
+  }
+
+  private List<PeerMessage> greeting() {
+    final InetSocketAddress own = address();
+    return List.of(
+        new Hello(
+            settings.self(),
+            incarnation,
+            settings.availabilityZone(),
+            settings.region(),
+            own.getAddress().getHostAddress(),
+            own.getPort()),
+        heartbeat());
+  }
+
+  private Heartbeat heartbeat() {
+    return new Heartbeat(status.snapshotRevision(), status.platformConnected());
+  }
+
+  /** Connects back to a peer that the settings do not name, such as a replacement. */
+  private void greeted(final KnownPeer peer, final Hello hello) {
+    final InetSocketAddress address = new InetSocketAddress(hello.host(), hello.port());
+    links.computeIfAbsent(peer.id(), id -> link(id, address)).move(address);
+  }
+
+  private CompletableFuture<PeerMessage> beat(final String from, final Heartbeat heartbeat) {
+    directory.peer(from).reportPlatform(heartbeat.platformConnected());
+    heartbeatListeners.forEach(listener -> listener.heard(from, heartbeat.snapshotRevision()));
+    return null;
+  }
+
+  private void tick() {
+    directory.checkSilence();
+    links.values().forEach(PeerLink::tick);
+    final long now = context.time().nanos();
+    if (now - nextHeartbeatNanos >= 0) {
+      nextHeartbeatNanos = now + HEARTBEAT_NANOS;
+      final Heartbeat heartbeat = heartbeat();
+      links.values().stream().filter(PeerLink::isOpen).forEach(link -> link.send(heartbeat));
+    }
+  }
+
+  private void end() {
+    links.values().forEach(PeerLink::close);
+    inbound.close();
+    try {
+      server.close();
+    } catch (final IOException error) {
+      Logger.warn("peer: address was not released: {}", error.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/lentilsail/peer/PeerCodecTest.java
@@ -0,0 +1,74 @@
+package org.lentilsail.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.ByteBuffer;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against messages that change on the way and against bytes that are taken for one. */
+class PeerCodecTest {
+  private final PeerCodec codec = new PeerCodec();
+
+  @Test
+  void keepsContentAndNumbers() {
+    final Sample sample = new Sample("a", new byte[] {1, -1}, Map.of("k", List.of(1, 2)), null);
+    final Envelope envelope = codec.open(body(codec.encode(sample, 7, 9)));
+    assertThat(envelope.type(), is("sample"));
+    assertThat(envelope.request(), is(7L));
+    assertThat(envelope.reply(), is(9L));
+    final Sample read = codec.read(envelope, Sample.class);
+    assertThat(read.text(), is("a"));
+    assertThat(read.bytes(), is(new byte[] {1, -1}));
+    assertThat(read.map(), is(sample.map()));
+    assertThat(read.none(), is(nullValue()));
+  }
+
+  @Test
+  void ignoresFieldsOfLaterVersionsAndContentThatDoesNotFit() {
+    final Envelope other = codec.open(body(codec.encode(new Heartbeat(3, true), 0, 0)));
+    assertThat(codec.read(other, Sample.class).text(), is(nullValue()));
+    final Envelope sample =
+        codec.open(body(codec.encode(new Sample("a", null, Map.of("k", List.of()), null), 0, 0)));
+    assertThat(codec.read(sample, Misfit.class), is(nullValue()));
+  }
+
+  /** The values are: nothing, a number, a map without type, two maps, and huge announced sizes. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "07",
+        "80",
+        "81a1610181a16101",
+        "c1",
+        "81a474797065c67fffffff00",
+        "df7fffffff",
+        "92"
+      })
+  void refusesWhatIsNotOneMapWithType(final String hex) {
+    final BadFrameException error =
+        assertThrows(BadFrameException.class, () -> codec.open(HexFormat.of().parseHex(hex)));
+    assertThat(error.reason(), is(BadFrame.NOT_MESSAGEPACK));
+  }
+
+  private static byte[] body(final ByteBuffer frame) {
+    final byte[] result = new byte[frame.getInt()];
+    frame.get(result);
+    return result;
+  }
+
+  /** A message with all sorts of content. */
+  record Sample(String text, byte[] bytes, Map<String, List<Integer>> map, String none)
+      implements PeerMessage {}
+
+  /** A message with the same field names as the sample but other types. */
+  record Misfit(int map) implements PeerMessage {}
+}
--- /dev/null
+++ b/library/src/test/java/org/lentilsail/peer/TcpPeerNetworkTest.java
@@ -0,0 +1,206 @@
+package org.lentilsail.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.lentilsail.Await;
+
+/**
+ * Guards against requests that are called unsent although they may have arrived, peers that are
+ * believed live or silent wrongly, and bad frames that stop the process.
+ */
+class TcpPeerNetworkTest {
+  private static final Duration LONG = Duration.ofSeconds(60);
+  private static final Duration SHORT = Duration.ofMillis(300);
+  private static final int LARGE = 8 * 1024 * 1024;
+
+  private final TestPeers peers = new TestPeers();
+
+  @AfterEach
+  void stop() {
+    peers.close();
+  }
+
+  @Test
+  void carriesLargeRequestsAndReplies() throws Exception {
+    final TcpPeerNetwork a = echo("a");
+    final TcpPeerNetwork b = echo("b");
+    awaitLive(a, "b");
+    awaitLive(b, "a");
+    final Echo reply =
+        b.request("a", new Echo(new byte[LARGE]), LONG, Echo.class).get(60, TimeUnit.SECONDS);
+    assertThat(reply.bytes().length, is(LARGE));
+    assertThat(a.request("b", new Echo(new byte[1]), LONG, Echo.class).get().bytes().length, is(1));
+  }
+
+  @Test
+  void reportsHeartbeatsSilenceAndRestart() throws Exception {
+    final List<String> events = new CopyOnWriteArrayList<>();
+    final ConcurrentHashMap<String, Long> revisions = new ConcurrentHashMap<>();
+    final TcpPeerNetwork a = peers.create("a");
+    a.onPeerChange(view -> events.add(view.live() + " " + view.incarnation()));
+    a.onHeartbeat(revisions::put);
+    a.start();
+    final TcpPeerNetwork first = peers.create("b", TestPeers.status(42));
+    first.start();
+    awaitLive(a, "b");
+    Await.until("heartbeat", () -> revisions.getOrDefault("b", 0L) == 42);
+    Await.until("platform flag", () -> a.peers().get(0).platformConnected());
+    first.close();
+    Await.until("silence", () -> !a.peers().get(0).live());
+    final TcpPeerNetwork second = peers.create("b", TestPeers.status(0), first.address());
+    second.start();
+    Await.until("restart", () -> a.peers().get(0).incarnation() == second.incarnation());
+    awaitLive(a, "b");
+    assertThat(events.get(0), is("true " + first.incarnation()));
+    assertThat(events.get(1), is("false " + first.incarnation()));
+    assertThat(events.contains("true " + second.incarnation()), is(true));
+  }
+
+  @Test
+  void cutLinkIsSilentAndRequestsOverItMayHaveArrived() throws Exception {
+    final TcpPeerNetwork a = echo("a");
+    final TcpPeerNetwork b = echo("b");
+    awaitLive(a, "b");
+    awaitLive(b, "a");
+    peers.cut("b", "a");
+    Await.until("silence", () -> !a.peers().get(0).live());
+    assertThat(b.peers().get(0).live(), is(true));
+    assertThat(unreachable(b.request("a", new Echo(new byte[1]), SHORT, Echo.class)), is(true));
+    peers.heal();
+    awaitLive(a, "b");
+  }
+
+  @Test
+  void requestToPeerThatIsNotConnectedIsNotSent() throws Exception {
+    try (Socket deaf = new Socket()) {
+      deaf.bind(new InetSocketAddress("127.0.0.1", 0));
+      peers.put("gone", (InetSocketAddress) deaf.getLocalSocketAddress());
+      final TcpPeerNetwork a = echo("a");
+      assertThat(unreachable(a.request("gone", new Echo(null), LONG, Echo.class)), is(false));
+      assertThat(unreachable(a.request("nobody", new Echo(null), LONG, Echo.class)), is(false));
+    }
+  }
+
+  @Test
+  void requestThatWaitsBehindOthersIsNotSentAfterItsTimeout() throws Exception {
+    try (ServerSocket deaf = listen()) {
+      peers.put("deaf", address(deaf));
+      final TcpPeerNetwork a = echo("a");
+      final Socket accepted = deaf.accept();
+      Await.until("connection", () -> a.state().toString().contains("\"connected\":true"));
+      final CompletableFuture<Echo> first =
+          a.request("deaf", new Echo(new byte[LARGE]), LONG, Echo.class);
+      final CompletableFuture<Echo> second =
+          a.request("deaf", new Echo(new byte[LARGE]), SHORT, Echo.class);
+      assertThat(unreachable(second), is(false));
+      accepted.close();
+      assertThat(unreachable(first), is(true));
+    }
+  }
+
+  @Test
+  void refusesToQueueWithoutBound() throws Exception {
+    try (ServerSocket deaf = listen()) {
+      peers.put("deaf", address(deaf));
+      final TcpPeerNetwork a = echo("a");
+      final Socket accepted = deaf.accept();
+      Await.until("connection", () -> a.state().toString().contains("\"connected\":true"));
+      for (int i = 0; i < 10; i++) {
+        a.send("deaf", new Echo(new byte[LARGE]));
+      }
+      Await.until("drops", () -> peers.counter("a", "lentilsail_peer_dropped_messages") >= 5);
+      accepted.close();
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "00000005 82, true",
+    "7fffffff, false",
+    "00000002 07c1, false",
+    "00000001 80, false",
+    "00000007 81a474797065a0, false"
+  })
+  void badFrameClosesOnlyItsConnection(final String hex, final boolean cut) throws Exception {
+    final TcpPeerNetwork a = echo("a");
+    final TcpPeerNetwork b = echo("b");
+    awaitLive(b, "a");
+    try (Socket socket = new Socket(a.address().getAddress(), a.address().getPort())) {
+      socket.getOutputStream().write(HexFormat.of().parseHex(hex.replace(" ", "")));
+      if (cut) {
+        socket.shutdownOutput();
+      }
+      assertThat(socket.getInputStream().read(), is(-1));
+    }
+    Await.until("count", () -> peers.counter("a", "lentilsail_peer_bad_frames") == 1);
+    assertThat(b.request("a", new Echo(new byte[1]), LONG, Echo.class).get().bytes().length, is(1));
+  }
+
+  @Test
+  void unknownMessageIsIgnoredAndCounted() throws Exception {
+    final TcpPeerNetwork a = echo("a");
+    final TcpPeerNetwork b = peers.create("b");
+    b.handle("odd", Echo.class, (from, message) -> null);
+    b.start();
+    awaitLive(b, "a");
+    Await.until("connection", () -> b.state().toString().contains("\"connected\":true"));
+    b.send("a", new Echo(null));
+    assertThat(unreachable(b.request("a", new Echo(null), LONG, Echo.class)), is(true));
+    assertThat(peers.counter("a", "lentilsail_peer_unknown_messages"), is(2.0));
+    assertThat(a.peers().get(0).live(), is(true));
+  }
+
+  private TcpPeerNetwork echo(final String id) throws IOException {
+    final TcpPeerNetwork result = peers.create(id);
+    result.handle(
+        "echo", Echo.class, (from, message) -> CompletableFuture.completedFuture(message));
+    result.start();
+    return result;
+  }
+
+  private static void awaitLive(final TcpPeerNetwork network, final String peer) throws Exception {
+    Await.until(
+        peer + " is live and connected",
+        () ->
+            network.peers().stream().anyMatch(view -> view.id().equals(peer) && view.live())
+                && network.state().toString().contains("\"connected\":true"));
+  }
+
+  private static boolean unreachable(final CompletableFuture<Echo> request) {
+    final ExecutionException error =
+        assertThrows(ExecutionException.class, () -> request.get(60, TimeUnit.SECONDS));
+    assertThat(error.getCause(), instanceOf(PeerUnreachableException.class));
+    return ((PeerUnreachableException) error.getCause()).sent();
+  }
+
+  private static ServerSocket listen() throws IOException {
+    return new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+  }
+
+  private static InetSocketAddress address(final ServerSocket socket) {
+    return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+  }
+
+  /** A message that is sent back. */
+  record Echo(byte[] bytes) implements PeerMessage {}
+}
--- a/standin/src/test/java/org/lentilsail/standin/platform/PlatformServerTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/platform/PlatformServerTest.java
@@ -9,7 +9,7 @@
 import com.fasterxml.jackson.databind.node.TextNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -42,6 +42,9 @@
   private static final JsonNode VALUE = TextNode.valueOf("a");
   private static final Optional<String> NO_LEASE = Optional.empty();
 
+  /** Holds a port at which nothing listens. */
+  private final Socket deaf = new Socket();
+
   private XnioWorker worker;
   private UndertowHttpCaller http;
   private PlatformServer server;
@@ -49,13 +52,16 @@
 
   @BeforeEach
   void start() throws IOException {
+    deaf.bind(new InetSocketAddress("127.0.0.1", 0));
     worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 2));
     http = new UndertowHttpCaller(worker, TimeSource.system());
     server =
         new PlatformServer(
             new PlatformSettings(
                 null,
-                List.of(new VmSettings("v1", "worker", closedAddress(), "z", "r", "p")),
+                List.of(
+                    new VmSettings(
+                        "v1", "worker", "127.0.0.1:" + deaf.getLocalPort(), "z", "r", "p")),
                 null,
                 0L,
                 null,
@@ -64,7 +70,8 @@
   }
 
   @AfterEach
-  void stop() {
+  void stop() throws IOException {
+    deaf.close();
     http.close();
     worker.shutdownNow();
     server.close();
@@ -150,9 +157,14 @@
 
   @Test
   void platformThatDoesNotListenCertainlyDidNothing() {
-    server.close();
+    final HttpPlatformClient lonely =
+        new HttpPlatformClient(
+            http,
+            (InetSocketAddress) deaf.getLocalSocketAddress(),
+            "d1",
+            HttpPlatformClient.DEFAULT_TIMEOUT);
     assertThat(
-        codeOf(client.compareAndSet("k", 0, VALUE, NO_LEASE)), is(ErrorCode.PLATFORM_UNAVAILABLE));
+        codeOf(lonely.compareAndSet("k", 0, VALUE, NO_LEASE)), is(ErrorCode.PLATFORM_UNAVAILABLE));
   }
 
   @Test
@@ -212,11 +224,4 @@
         assertThrows(ExecutionException.class, () -> call.get(30, TimeUnit.SECONDS));
     return ((LentilsailException) error.getCause()).code();
   }
-
-  private static String closedAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket()) {
-      socket.bind(new InetSocketAddress("127.0.0.1", 0));
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-  }
 }
