Add the runner of local deployments

Cause: quickstart, benchmarks and process tests all start the same processes. Change: LocalFleet starts stand-ins and entry daemons on free ports, with relays between daemons and to the platform that can be cut. Conclusion: one runner serves all three.

--- /dev/null
+++ b/system/src/main/java/org/lentilsail/system/FleetAddresses.java
@@ -0,0 +1,64 @@
+package org.lentilsail.system;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Ports of all processes of a deployment on the loopback address.
+ *
+ * @param platform port of the platform stand-in
+ * @param callers ports towards callers, by daemon
+ * @param admins ports towards operators, by daemon
+ * @param peers ports towards other daemons, by daemon
+ * @param backends ports of the backend servers, by VM
+ */
+record FleetAddresses(
+    int platform,
+    Map<String, Integer> callers,
+    Map<String, Integer> admins,
+    Map<String, Integer> peers,
+    Map<String, Integer> backends) {
+
+  /** Ports that each entry daemon needs. */
+  private static final int PORTS_PER_ENTRY = 3;
+
+  /** Copies the maps, so that the addresses cannot change. */
+  FleetAddresses {
+    callers = Map.copyOf(callers);
+    admins = Map.copyOf(admins);
+    peers = Map.copyOf(peers);
+    backends = Map.copyOf(backends);
+  }
+
+  /**
+   * Finds free ports for all processes of a deployment.
+   *
+   * @param plan the deployment
+   * @return the ports
+   * @throws IOException when no port can be bound
+   */
+  static FleetAddresses find(final DeploymentPlan plan) throws IOException {
+    final int count = 1 + PORTS_PER_ENTRY * plan.entries().size() + plan.vms().size();
+    final List<Integer> free = FreePorts.find(count);
+    final Iterator<Integer> ports = free.iterator();
+    final Map<String, Integer> callers = new HashMap<>();
+    final Map<String, Integer> admins = new HashMap<>();
+    final Map<String, Integer> peers = new HashMap<>();
+    final Map<String, Integer> backends = new HashMap<>();
+    final int platform = ports.next();
+    for (final EntryPlan entry : plan.entries()) {
+      callers.put(entry.id(), ports.next());
+      admins.put(entry.id(), ports.next());
+      peers.put(entry.id(), ports.next());
+    }
+    plan.vms().forEach(vm -> backends.put(vm.vm(), ports.next()));
+    return new FleetAddresses(platform, callers, admins, peers, backends);
+  }
+
+  static String text(final int port) {
+    return "127.0.0.1:" + port;
+  }
+}
--- /dev/null
+++ b/system/src/main/java/org/lentilsail/system/LocalFleet.java
@@ -0,0 +1,229 @@
+package org.lentilsail.system;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/** Runs a whole deployment as processes on the loopback address. */
+final class LocalFleet implements AutoCloseable {
+  /** Largest heap of an entry daemon in MB. */
+  private static final int ENTRY_HEAP_MEGABYTES = 96;
+
+  /** Largest heap of a stand-in in MB. */
+  private static final int STANDIN_HEAP_MEGABYTES = 256;
+
+  /** Largest heap of the command line in MB. */
+  private static final int CLI_HEAP_MEGABYTES = 64;
+
+  /** Longest run of the command line in s. */
+  private static final int CLI_SECONDS = 30;
+
+  /** Longest start of a process. */
+  private static final Duration START_LIMIT = Duration.ofSeconds(30);
+
+  /** The deployment. */
+  private final DeploymentPlan plan;
+
+  /** Directory of settings and outputs. */
+  private final Path directory;
+
+  /** Where the processes listen. */
+  private final FleetAddresses addresses;
+
+  /** The links that can be cut. */
+  private final FleetLinks links;
+
+  /** Writes the settings. */
+  private final SettingsFiles files;
+
+  /** Sends requests to the processes. */
+  private final Web web = new Web();
+
+  /** Running entry daemons by id. */
+  private final Map<String, ChildProcess> entries = new LinkedHashMap<>();
+
+  /** The stand-ins. */
+  private final List<ChildProcess> standins = new ArrayList<>();
+
+  /** Runs of the command line so far. */
+  private int cliRuns;
+
+  private LocalFleet(final DeploymentPlan plan) throws IOException {
+    this.plan = plan;
+    this.directory = Files.createTempDirectory("lentilsail-fleet");
+    this.addresses = FleetAddresses.find(plan);
+    this.links = new FleetLinks(plan, addresses);
+    this.files = new SettingsFiles(directory, plan, addresses, links);
+  }
+
+  /**
+   * Starts the stand-ins and all entry daemons, and waits until the daemons are live.
+   *
+   * @param plan the deployment
+   * @return the running fleet
+   * @throws Exception when a process cannot be started
+   */
+  static LocalFleet start(final DeploymentPlan plan) throws Exception {
+    final LocalFleet fleet = new LocalFleet(plan);
+    try {
+      fleet.startStandins();
+      for (final EntryPlan entry : plan.entries()) {
+        fleet.startEntry(entry.id());
+      }
+      for (final EntryPlan entry : plan.entries()) {
+        fleet.awaitLive(entry.id());
+      }
+    } catch (final Exception error) {
+      fleet.close();
+      throw error;
+    }
+    return fleet;
+  }
+
+  DeploymentPlan plan() {
+    return plan;
+  }
+
+  FleetAddresses addresses() {
+    return addresses;
+  }
+
+  FleetLinks links() {
+    return links;
+  }
+
+  Web web() {
+    return web;
+  }
+
+  ChildProcess entry(final String id) {
+    return entries.get(id);
+  }
+
+  /**
+   * Starts an entry daemon that does not run.
+   *
+   * @param id id of the daemon
+   * @throws IOException when it cannot be started
+   */
+  void startEntry(final String id) throws IOException {
+    final EntryPlan entry =
+        plan.entries().stream().filter(each -> each.id().equals(id)).findFirst().orElseThrow();
+    entries.put(
+        id,
+        ChildProcess.start(
+            id,
+            directory,
+            "org.lentilsail.daemon.EntryDaemon",
+            ENTRY_HEAP_MEGABYTES,
+            List.of("--settings", files.entry(entry).toString())));
+  }
+
+  /**
+   * Waits until a daemon answers on its operators' address.
+   *
+   * @param id id of the daemon
+   * @return time in ms that it took
+   * @throws InterruptedException when the waiting thread is interrupted
+   */
+  long awaitLive(final String id) throws InterruptedException {
+    return Await.until(
+        "daemon " + id + " live",
+        START_LIMIT,
+        () -> web.status(addresses.admins().get(id), "/live") == 200);
+  }
+
+  /**
+   * Waits until a daemon takes requests.
+   *
+   * @param id id of the daemon
+   * @return time in ms that it took
+   * @throws InterruptedException when the waiting thread is interrupted
+   */
+  long awaitReady(final String id) throws InterruptedException {
+    return Await.until(
+        "daemon " + id + " ready",
+        START_LIMIT,
+        () -> web.status(addresses.admins().get(id), "/ready") == 200);
+  }
+
+  /**
+   * Runs the operators' command line against all daemons.
+   *
+   * @param args subcommand and arguments
+   * @return exit code and output
+   * @throws Exception when it cannot be run
+   */
+  CliResult cli(final String... args) throws Exception {
+    final List<String> command = new ArrayList<>(Arrays.asList(args));
+    command.add("--server");
+    command.add(
+        String.join(
+            ",",
+            plan.entries().stream()
+                .map(entry -> FleetAddresses.text(addresses.admins().get(entry.id())))
+                .toList()));
+    cliRuns++;
+    try (ChildProcess process =
+        ChildProcess.start(
+            "cli-" + cliRuns,
+            directory,
+            "org.lentilsail.cli.Lentilsail",
+            CLI_HEAP_MEGABYTES,
+            command)) {
+      final int exitCode = process.await(CLI_SECONDS);
+      return new CliResult(exitCode, process.output());
+    }
+  }
+
+  /**
+   * Writes a file into the fleet's directory, for the command line.
+   *
+   * @param name name of the file
+   * @param text content
+   * @return the file
+   * @throws IOException when it cannot be written
+   */
+  Path write(final String name, final String text) throws IOException {
+    return Files.writeString(directory.resolve(name), text);
+  }
+
+  @Override
+  public void close() throws IOException {
+    entries.values().forEach(ChildProcess::close);
+    standins.forEach(ChildProcess::close);
+    web.close();
+    links.close();
+    try (Stream<Path> paths = Files.walk(directory)) {
+      for (final Path path : paths.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(path);
+      }
+    }
+  }
+
+  private void startStandins() throws Exception {
+    final List<String> backends = new ArrayList<>(List.of("backend"));
+    for (final VmPlan vm : plan.vms()) {
+      backends.add("--address");
+      backends.add(FleetAddresses.text(addresses.backends().get(vm.vm())));
+    }
+    standins.add(startStandin("backends", backends));
+    standins.add(
+        startStandin("platform", List.of("platform", "--settings", files.platform().toString())));
+    Await.until(
+        "platform stand-in", START_LIMIT, () -> web.status(addresses.platform(), "/v1/vms") == 200);
+  }
+
+  private ChildProcess startStandin(final String name, final List<String> args) throws IOException {
+    return ChildProcess.start(
+        name, directory, "org.lentilsail.standin.StandinMain", STANDIN_HEAP_MEGABYTES, args);
+  }
+}
--- /dev/null
+++ b/system/src/main/java/org/lentilsail/system/SettingsFiles.java
@@ -0,0 +1,89 @@
+package org.lentilsail.system;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** Writes the settings files of the processes of a deployment. */
+final class SettingsFiles {
+  /** Lag of the platform's list of VMs in ms. */
+  private static final int LIST_LAG_MILLIS = 300;
+
+  /** Time in ms after which the platform reports a silent VM as gone. */
+  private static final int GONE_MILLIS = 4_000;
+
+  /** Writes JSON. */
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** Directory of the files. */
+  private final Path directory;
+
+  /** The deployment. */
+  private final DeploymentPlan plan;
+
+  /** Where the processes listen. */
+  private final FleetAddresses addresses;
+
+  /** How the daemons reach each other and the platform. */
+  private final FleetLinks links;
+
+  SettingsFiles(
+      final Path directory,
+      final DeploymentPlan plan,
+      final FleetAddresses addresses,
+      final FleetLinks links) {
+    this.directory = directory;
+    this.plan = plan;
+    this.addresses = addresses;
+    this.links = links;
+  }
+
+  Path platform() throws IOException {
+    final ObjectNode root = JSON.createObjectNode();
+    root.put("listen", FleetAddresses.text(addresses.platform()));
+    root.put("listLagMillis", LIST_LAG_MILLIS);
+    root.put("goneMillis", GONE_MILLIS);
+    final ArrayNode vms = root.putArray("vms");
+    for (final VmPlan vm : plan.vms()) {
+      vms.addObject()
+          .put("vm", vm.vm())
+          .put("role", "worker")
+          .put("address", FleetAddresses.text(addresses.backends().get(vm.vm())))
+          .put("availabilityZone", vm.availabilityZone())
+          .put("rack", vm.rack())
+          .put("pool", vm.pool());
+    }
+    return write("platform.json", root);
+  }
+
+  Path entry(final EntryPlan entry) throws IOException {
+    final ObjectNode root = JSON.createObjectNode();
+    final String id = entry.id();
+    root.put("id", id);
+    root.put("region", "main");
+    root.put("availabilityZone", entry.availabilityZone());
+    root.put("callerAddress", FleetAddresses.text(addresses.callers().get(id)));
+    root.put("adminAddress", FleetAddresses.text(addresses.admins().get(id)));
+    root.put("peerAddress", FleetAddresses.text(addresses.peers().get(id)));
+    root.put("platformAddress", FleetAddresses.text(links.platformPort(id)));
+    final ArrayNode peers = root.putArray("peers");
+    for (final EntryPlan peer : plan.entries()) {
+      if (!peer.equals(entry)) {
+        peers
+            .addObject()
+            .put("id", peer.id())
+            .put("address", FleetAddresses.text(links.peerPort(id, peer.id())))
+            .put("availabilityZone", peer.availabilityZone());
+      }
+    }
+    return write(id + ".json", root);
+  }
+
+  private Path write(final String name, final ObjectNode root) throws IOException {
+    final Path file = directory.resolve(name);
+    JSON.writerWithDefaultPrettyPrinter().writeValue(file.toFile(), root);
+    return file;
+  }
+}
--- /dev/null
+++ b/system/src/main/java/org/lentilsail/system/VmPlan.java
@@ -0,0 +1,11 @@
+package org.lentilsail.system;
+
+/**
+ * One worker VM of a deployment.
+ *
+ * @param vm name of the VM
+ * @param pool pool in which it starts
+ * @param availabilityZone availability zone of the VM
+ * @param rack rack of the VM
+ */
+record VmPlan(String vm, String pool, String availabilityZone, String rack) {}
