--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/json/Fault.java
@@ -0,0 +1,26 @@
+package org.lentilsail.model.json;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * Describes one fault in a JSON document.
+ *
+ * @param field path of the field
+ * @param value value that was found, as JSON; empty when the field is missing
+ * @param remedy what the writer can do
+ */
+public record Fault(String field, String value, String remedy) {
+
+  /** Returns the fault as one line: field, value and remedy. */
+  public String text() {
+    return value.isEmpty()
+        ? field + " is missing: " + remedy
+        : field + " is " + value + ": " + remedy;
+  }
+
+  /** Returns all faults, one to a line. */
+  public static String lines(final List<Fault> faults) {
+    return faults.stream().map(Fault::text).collect(Collectors.joining("\n"));
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/settings/PeerSettings.java
@@ -0,0 +1,10 @@
+package org.lentilsail.model.settings;
+
+/**
+ * Names another entry daemon.
+ *
+ * @param id id of the daemon
+ * @param address its peer address
+ * @param availabilityZone its availability zone
+ */
+public record PeerSettings(String id, HostPort address, String availabilityZone) {}
