Add the stand-in for backend servers

StandinCommand is public so that subcommands can live in packages of their own. Conclusion: other parts can test against it.

--- a/standin/src/main/java/org/lentilsail/standin/StandinCommand.java
+++ b/standin/src/main/java/org/lentilsail/standin/StandinCommand.java
@@ -1,7 +1,7 @@
 package org.lentilsail.standin;
 
 /** One subcommand of the program. */
-interface StandinCommand {
+public interface StandinCommand {
   /**
    * Returns the name on the command line.
    *
--- a/standin/src/main/java/org/lentilsail/standin/StandinMain.java
+++ b/standin/src/main/java/org/lentilsail/standin/StandinMain.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import org.lentilsail.standin.backend.BackendCommand;
 
 /** Stand-ins and the load tool: runs the subcommand that the first argument names. */
 public final class StandinMain {
@@ -9,7 +10,7 @@
   private static final int EXIT_USAGE = 2;
 
   /** The subcommands. */
-  private static final List<StandinCommand> COMMANDS = List.of();
+  private static final List<StandinCommand> COMMANDS = List.of(new BackendCommand());
 
   private StandinMain() {}
 
