--- a/standin/src/main/java/org/lentilsail/standin/StandinMain.java
+++ b/standin/src/main/java/org/lentilsail/standin/StandinMain.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import org.lentilsail.standin.backend.BackendCommand;
 import org.lentilsail.standin.platform.PlatformCommand;
 
 /** Stand-ins and the load tool: runs the subcommand that the first argument names. */
@@ -10,7 +11,8 @@
   private static final int EXIT_USAGE = 2;
 
   /** The subcommands. */
-  private static final List<StandinCommand> COMMANDS = List.of(new PlatformCommand());
+  private static final List<StandinCommand> COMMANDS =
+      List.of(new PlatformCommand(), new BackendCommand());
 
   private StandinMain() {}
 
