Add the assessment of worker health

Requests of a worker that fails everything it starts have to go elsewhere, but a shared cause must not withdraw the whole service. AttemptLimit stops a request after failures on 3 workers.

--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/health/AttemptLimit.java
@@ -0,0 +1,19 @@
+package org.lentilsail.policy.health;
+
+/** Stops requests that fail wherever they run, so that they do not withdraw worker after worker. */
+public final class AttemptLimit {
+  /** Workers on which a request may fail before it is stopped. */
+  public static final int MAX_FAILED_WORKERS = 3;
+
+  private AttemptLimit() {}
+
+  /**
+   * Tells whether a request may go to another worker.
+   *
+   * @param failedWorkers number of different workers on which the request has failed
+   * @return false when the request is to be stopped
+   */
+  public static boolean mayTryAgain(final int failedWorkers) {
+    return failedWorkers < MAX_FAILED_WORKERS;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/health/HealthState.java
@@ -0,0 +1,11 @@
+package org.lentilsail.policy.health;
+
+/** Tells how much work a worker may get. */
+public enum HealthState {
+  /** The worker takes work up to its number of slots. */
+  HEALTHY,
+  /** The worker has failed too often and gets no work until its back-off ends. */
+  WITHDRAWN,
+  /** The back-off has ended; the worker gets one request at a time until one succeeds. */
+  ON_TRIAL
+}
