--- /dev/null
+++ b/system/src/main/java/org/lentilsail/system/SampleRecords.java
@@ -0,0 +1,61 @@
+package org.lentilsail.system;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+
+/** The records of the small deployment, as an operator would apply them. */
+final class SampleRecords {
+  /** A service of the records. */
+  static final String SERVICE = "booking";
+
+  /** Longest time until a configuration is in force on all daemons. */
+  static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(2);
+
+  /** Pools, services and budgets. */
+  private static final String FLEET_RECORDS = "small-fairway.json";
+
+  private SampleRecords() {}
+
+  /**
+   * Applies pools, services and budgets by the command line and waits until all daemons are ready.
+   *
+   * @param fleet the fleet
+   * @throws Exception when the records are refused
+   */
+  static void apply(final LocalFleet fleet) throws Exception {
+    final CliResult result = fleet.cli("apply", file(fleet, FLEET_RECORDS).toString());
+    if (result.exitCode() != 0) {
+      throw new IllegalStateException("apply failed: " + result.output());
+    }
+    for (final EntryPlan entry : fleet.plan().entries()) {
+      fleet.awaitReady(entry.id());
+    }
+    for (final EntryPlan entry : fleet.plan().entries()) {
+      Await.until(
+          "service " + SERVICE + " on " + entry.id(),
+          Duration.ofSeconds(20),
+          () ->
+              fleet
+                      .web()
+                      .status(fleet.addresses().callers().get(entry.id()), "/" + SERVICE + "/ready")
+                  == 200);
+    }
+  }
+
+  /**
+   * Copies a file of records from the class path into the fleet's directory.
+   *
+   * @param fleet the fleet
+   * @param name name of the file
+   * @return the copy
+   * @throws IOException when it cannot be copied
+   */
+  static Path file(final LocalFleet fleet, final String name) throws IOException {
+    try (InputStream input = SampleRecords.class.getResourceAsStream(name)) {
+      return fleet.write(name, new String(input.readAllBytes(), StandardCharsets.UTF_8));
+    }
+  }
+}
