Add the dispatcher of a service

A request that waits inside a worker waits behind whatever came before it. Run times are learned per path and team; work that outlives its class counts as long while it runs. Workers are found in buckets by slots in use, so that a decision does not scan the workers.

--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/DemandId.java
@@ -0,0 +1,9 @@
+package org.lentilsail.policy.dispatch;
+
+/**
+ * Identifies a demand for a slot across daemons.
+ *
+ * @param daemon id of the daemon that asks
+ * @param number number that the daemon uses once
+ */
+public record DemandId(String daemon, long number) {}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/DispatchSettings.java
@@ -0,0 +1,35 @@
+package org.lentilsail.policy.dispatch;
+
+import java.util.Map;
+
+/**
+ * Settings of the dispatcher of one service.
+ *
+ * @param shortMillis work expected to take less than this many ms is short
+ * @param queueLimit most demands that wait
+ * @param teamWeights weights of the teams' fair shares; a team that is not named weighs 1
+ */
+public record DispatchSettings(long shortMillis, int queueLimit, Map<String, Integer> teamWeights) {
+  /** Nanoseconds in a millisecond. */
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Multiple of {@code shortMillis} after which running work counts as long. */
+  private static final int RECLASSIFY_FACTOR = 4;
+
+  /** Copies the weights, so that the settings cannot change. */
+  public DispatchSettings {
+    teamWeights = Map.copyOf(teamWeights);
+  }
+
+  long shortNanos() {
+    return shortMillis * NANOS_PER_MILLI;
+  }
+
+  long reclassifyNanos() {
+    return shortNanos() * RECLASSIFY_FACTOR;
+  }
+
+  int weight(final String team) {
+    return Math.max(1, teamWeights.getOrDefault(team, 1));
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/ServiceDispatcher.java
@@ -0,0 +1,345 @@
+package org.lentilsail.policy.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.lentilsail.model.fleet.ServiceLoad;
+import org.lentilsail.policy.health.AttemptLimit;
+
+/**
+ * Decides for one service which demand gets which slot, which waits and which is refused.
+ *
+ * <p>It is not safe for use by several threads, and reads no clock: each call gets the monotonic
+ * time.
+ */
+public final class ServiceDispatcher {
+  /** Demands of a lane that are tried when the first ones exclude all free workers. */
+  private static final int MAX_TRIED = 8;
+
+  /**
+   * Part of the slots that long work may use while short work waits, as a divisor. Without it, a
+   * lasting surplus of short work would hold long work up for ever.
+   */
+  private static final int LONG_MINIMUM_DIVISOR = 8;
+
+  /** Hears the decisions. */
+  private final DispatchListener listener;
+
+  /** The workers. */
+  private final WorkerPool pool;
+
+  /** Learned run times. */
+  private final RunTimes runTimes = new RunTimes();
+
+  /** Waiting demands. */
+  private final DemandQueue queue = new DemandQueue();
+
+  /** Requests that hold slots. */
+  private final Map<DemandId, Running> running = new HashMap<>();
+
+  /** Running short work in order of start, to find what outlives its class. */
+  private final Deque<Running> shortRunning = new ArrayDeque<>();
+
+  /** Settings of the service. */
+  private DispatchSettings settings;
+
+  /** Demands refused for lack of slots since the last report. */
+  private int refused;
+
+  /**
+   * Creates the dispatcher of a service without workers.
+   *
+   * @param settings settings of the service
+   * @param random source of jitter
+   * @param listener hears the decisions
+   */
+  public ServiceDispatcher(
+      final DispatchSettings settings,
+      final RandomGenerator random,
+      final DispatchListener listener) {
+    this.settings = settings;
+    this.listener = listener;
+    this.pool = new WorkerPool(random);
+  }
+
+  /**
+   * Changes the settings for the decisions that follow.
+   *
+   * @param changed settings of the service
+   */
+  public void configure(final DispatchSettings changed) {
+    settings = changed;
+  }
+
+  /**
+   * Adds a worker or changes its mode.
+   *
+   * @param vm VM of the worker
+   * @param availabilityZone availability zone of the VM
+   * @param mode how the worker is to be used
+   * @param nowNanos monotonic time
+   */
+  public void putWorker(
+      final String vm, final String availabilityZone, final WorkerMode mode, final long nowNanos) {
+    pool.put(vm, availabilityZone, mode, nowNanos);
+    startAll(nowNanos);
+  }
+
+  /**
+   * Removes a worker; requests that run on it keep their slots until they are released.
+   *
+   * @param vm VM of the worker
+   * @param nowNanos monotonic time
+   */
+  public void removeWorker(final String vm, final long nowNanos) {
+    pool.remove(vm, nowNanos);
+  }
+
+  /**
+   * Asks for a slot. The listener hears of a grant or an early refusal before this method returns;
+   * otherwise the demand waits. A repeat of a demand that is known changes nothing.
+   *
+   * @param demand what is needed
+   * @param nowNanos monotonic time
+   */
+  public void submit(final Demand demand, final long nowNanos) {
+    advance(nowNanos);
+    if (!AttemptLimit.mayTryAgain(demand.excludedVms().size())) {
+      listener.refused(demand.id(), RefusalReason.STOPPED);
+    } else if (!pool.canServe(demand.excludedVms())) {
+      refuse(demand.id(), RefusalReason.NO_WORKER);
+    } else if (queue.find(demand.id()) == null && !running.containsKey(demand.id())) {
+      enqueue(demand, nowNanos);
+    }
+  }
+
+  private void enqueue(final Demand demand, final long nowNanos) {
+    final RunTimeEstimate estimate =
+        runTimes.estimate(
+            demand.path(), demand.team(), demand.expectedMillis(), settings.shortNanos());
+    final Waiting entry = queue.add(demand, estimate, settings);
+    startAll(nowNanos);
+    if (queue.find(demand.id()) != null) {
+      final long expectedStart = nowNanos + queue.expectedWait(entry, pool.capacity());
+      if (expectedStart - demand.deadlineNanos() > 0) {
+        refuseWaiting(entry, RefusalReason.DEADLINE);
+      } else if (queue.size() > settings.queueLimit()) {
+        refuseWaiting(queue.victim(entry), RefusalReason.QUEUE_FULL);
+      }
+    }
+  }
+
+  private void refuseWaiting(final Waiting entry, final RefusalReason reason) {
+    queue.remove(entry);
+    refuse(entry.demand.id(), reason);
+  }
+
+  /**
+   * Withdraws a demand that still waits. A demand that has a slot keeps it until the release.
+   *
+   * @param id the demand
+   * @param nowNanos monotonic time
+   * @return whether the demand waited
+   */
+  public boolean cancel(final DemandId id, final long nowNanos) {
+    final Waiting entry = queue.find(id);
+    if (entry != null) {
+      queue.remove(entry);
+      startAll(nowNanos);
+    }
+    return entry != null;
+  }
+
+  /**
+   * Frees the slot of a demand; repeats do nothing.
+   *
+   * @param id the demand
+   * @param result what the end says about the worker
+   * @param runNanos time that the request took on the worker
+   * @param nowNanos monotonic time
+   */
+  public void release(
+      final DemandId id, final UseResult result, final long runNanos, final long nowNanos) {
+    final Running use = running.remove(id);
+    if (use != null) {
+      free(use);
+      pool.ended(use.worker, result, nowNanos);
+      final Demand demand = use.demand;
+      if (result == UseResult.OK) {
+        runTimes.learn(demand.path(), demand.team(), demand.expectedMillis(), runNanos, settings);
+      }
+      if (use.lane != null) {
+        final boolean bounded = use.lane == queue.shortLane();
+        final long cost = bounded ? Math.min(runNanos, settings.reclassifyNanos()) : runNanos;
+        use.lane.charge(demand.team(), cost - use.chargedNanos);
+      }
+    }
+    advance(nowNanos);
+    startAll(nowNanos);
+  }
+
+  private void free(final Running use) {
+    use.ended = true;
+    pool.giveBack(use.worker, use.longWork);
+  }
+
+  /**
+   * Takes over a slot that a daemon reports as in use, which another dispatcher has granted.
+   *
+   * @param demand the demand that holds the slot
+   * @param vm VM of the worker
+   * @param startedNanos monotonic time of the start
+   * @param nowNanos monotonic time
+   */
+  public void adopt(
+      final Demand demand, final String vm, final long startedNanos, final long nowNanos) {
+    final Worker worker = pool.worker(vm);
+    if (worker != null && !running.containsKey(demand.id())) {
+      final Waiting entry = queue.find(demand.id());
+      if (entry != null) {
+        queue.remove(entry);
+      }
+      final Running use = new Running(demand, worker, null, startedNanos, 0);
+      running.put(demand.id(), use);
+      pool.take(worker, false);
+      shortRunning.addFirst(use);
+      advance(nowNanos);
+    }
+  }
+
+  /**
+   * Frees the slots and queue places of a daemon that is gone.
+   *
+   * @param daemon id of the daemon
+   * @param nowNanos monotonic time
+   */
+  public void freeDaemon(final String daemon, final long nowNanos) {
+    final List<Running> uses =
+        running.values().stream().filter(use -> use.demand.id().daemon().equals(daemon)).toList();
+    for (final Running use : uses) {
+      running.remove(use.demand.id());
+      free(use);
+    }
+    queue.of(daemon).forEach(queue::remove);
+    startAll(nowNanos);
+  }
+
+  /**
+   * Does what is due: refuses demands past their deadline, reclassifies work, ends back-offs.
+   *
+   * @param nowNanos monotonic time
+   */
+  public void advance(final long nowNanos) {
+    for (Waiting late = queue.late(nowNanos); late != null; late = queue.late(nowNanos)) {
+      refuseWaiting(late, RefusalReason.DEADLINE);
+    }
+    reclassify(nowNanos);
+    if (pool.advance(nowNanos)) {
+      startAll(nowNanos);
+    }
+  }
+
+  private void reclassify(final long nowNanos) {
+    while (!shortRunning.isEmpty()
+        && (shortRunning.peek().ended
+            || nowNanos - shortRunning.peek().startedNanos >= settings.reclassifyNanos())) {
+      final Running use = shortRunning.poll();
+      if (!use.ended) {
+        use.longWork = true;
+        pool.countLong(use.worker, 1);
+      }
+    }
+  }
+
+  private void refuse(final DemandId id, final RefusalReason reason) {
+    refused++;
+    listener.refused(id, reason);
+  }
+
+  private void startAll(final long nowNanos) {
+    final Lane shortLane = queue.shortLane();
+    final Lane longLane = queue.longLane();
+    boolean more = queue.size() > 0;
+    while (more) {
+      final boolean longIsBehind =
+          pool.longBusy() < pool.capacity() / LONG_MINIMUM_DIVISOR && longLane.size() > 0;
+      more =
+          startOne(shortLane, true, nowNanos)
+              || startOne(longLane, true, nowNanos)
+              || longIsBehind && startOne(longLane, false, nowNanos)
+              || startOne(shortLane, false, nowNanos)
+              || startOne(longLane, false, nowNanos);
+      more = more && queue.size() > 0;
+    }
+  }
+
+  private boolean startOne(final Lane lane, final boolean urgentOnly, final long nowNanos) {
+    final boolean longWork = lane == queue.longLane();
+    boolean started = false;
+    if (lane.size() > 0 && pool.free(longWork)) {
+      for (final Waiting entry : lane.heads(urgentOnly, MAX_TRIED)) {
+        final Worker worker = pool.find(entry.demand, longWork);
+        if (worker != null) {
+          start(entry, worker, longWork, nowNanos);
+          started = true;
+          break;
+        }
+      }
+    }
+    return started;
+  }
+
+  private void start(
+      final Waiting entry, final Worker worker, final boolean longWork, final long nowNanos) {
+    queue.start(entry);
+    final Running use =
+        new Running(entry.demand, worker, entry.lane, nowNanos, entry.expectedNanos);
+    use.longWork = longWork;
+    running.put(entry.demand.id(), use);
+    pool.take(worker, longWork);
+    if (!longWork) {
+      shortRunning.add(use);
+    }
+    listener.granted(entry.demand.id(), worker.vm);
+  }
+
+  /**
+   * Returns the demand of the service and starts counting refusals anew.
+   *
+   * @return the load since the last call
+   */
+  public ServiceLoad takeLoad() {
+    final ServiceLoad load = new ServiceLoad(pool.busy(), queue.size(), refused);
+    refused = 0;
+    return load;
+  }
+
+  /**
+   * Returns the workers that are withdrawn or on trial.
+   *
+   * @return VMs of the workers
+   */
+  public Set<String> unhealthyVms() {
+    return pool.unhealthy();
+  }
+
+  /**
+   * Returns the present figures for the state dump.
+   *
+   * @return the figures
+   */
+  public DispatchFigures figures() {
+    return new DispatchFigures(
+        pool.vms().size(),
+        pool.capacity(),
+        pool.busy(),
+        pool.longBusy(),
+        queue.shortLane().size(),
+        queue.longLane().size(),
+        runTimes.size());
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/WorkerIndex.java
@@ -0,0 +1,106 @@
+package org.lentilsail.policy.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Finds the free worker with the fewest slots in use in a time that does not depend on the number
+ * of workers.
+ */
+final class WorkerIndex {
+  /** Number of kinds of index. */
+  static final int KINDS = 3;
+
+  /** Workers with a free slot for short work. */
+  private static final int SHORT = 0;
+
+  /** Workers with a free slot for long work. */
+  private static final int LONG = 1;
+
+  /** Free workers that get one request at a time. */
+  private static final int TRIAL = 2;
+
+  /** Buckets by kind, then by zone times slots plus slots in use. */
+  private final List<List<WorkerBucket>> buckets =
+      List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+
+  /** Number of workers in each kind of index. */
+  private final int[] sizes = new int[KINDS];
+
+  /** Number of zones seen. */
+  private int zones;
+
+  void addZone() {
+    zones++;
+    for (int kind = 0; kind < KINDS; kind++) {
+      for (int level = 0; level < Worker.SLOTS; level++) {
+        buckets.get(kind).add(new WorkerBucket(kind));
+      }
+    }
+  }
+
+  void remove(final Worker worker) {
+    for (int kind = 0; kind < KINDS; kind++) {
+      if (worker.buckets[kind] != null) {
+        worker.buckets[kind].remove(worker);
+        sizes[kind]--;
+      }
+    }
+  }
+
+  void update(final Worker worker) {
+    remove(worker);
+    if (worker.free()) {
+      if (worker.capacity < Worker.SLOTS) {
+        add(TRIAL, worker);
+      } else {
+        add(SHORT, worker);
+        if (worker.longBusy < Worker.LONG_SLOTS) {
+          add(LONG, worker);
+        }
+      }
+    }
+  }
+
+  private void add(final int kind, final Worker worker) {
+    buckets.get(kind).get(worker.zone * Worker.SLOTS + worker.busy).add(worker);
+    sizes[kind]++;
+  }
+
+  boolean free(final boolean longWork) {
+    return sizes[longWork ? LONG : SHORT] + sizes[TRIAL] > 0;
+  }
+
+  /**
+   * Finds a worker for a demand. Short work that is not urgent goes to a worker on trial first, as
+   * only requests can prove that the worker works again; other work goes there last.
+   */
+  Worker find(final Demand demand, final int zone, final boolean longWork) {
+    final Set<String> excluded = demand.excludedVms();
+    Worker result = null;
+    if (!longWork && !demand.urgent()) {
+      result = find(TRIAL, zone, excluded);
+    }
+    if (result == null) {
+      result = find(longWork ? LONG : SHORT, zone, excluded);
+    }
+    if (result == null) {
+      result = find(TRIAL, zone, excluded);
+    }
+    return result;
+  }
+
+  private Worker find(final int kind, final int zone, final Set<String> excluded) {
+    Worker result = null;
+    if (sizes[kind] > 0) {
+      final List<WorkerBucket> candidates = buckets.get(kind);
+      for (int level = 0; level < Worker.SLOTS && result == null; level++) {
+        for (int i = 0; i < zones && result == null; i++) {
+          result = candidates.get((zone + i) % zones * Worker.SLOTS + level).find(excluded);
+        }
+      }
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/WorkerPool.java
@@ -0,0 +1,194 @@
+package org.lentilsail.policy.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.lentilsail.policy.health.HealthState;
+import org.lentilsail.policy.health.ServiceHealth;
+
+/** The workers of one service with their slots, modes and health. */
+final class WorkerPool {
+  /** Interval in ns after which the ends of back-offs are looked for. */
+  private static final long HEALTH_INTERVAL_NANOS = 20_000_000L;
+
+  /** Workers by VM. */
+  private final Map<String, Worker> workers = new HashMap<>();
+
+  /** Numbers of the availability zones. */
+  private final Map<String, Integer> zones = new HashMap<>();
+
+  /** Finds free workers. */
+  private final WorkerIndex index = new WorkerIndex();
+
+  /** Health of the workers. */
+  private final ServiceHealth health;
+
+  /** Workers that failed at the last look. */
+  private List<String> failing = List.of();
+
+  /** Monotonic time of the last look at the health. */
+  private long checkedNanos;
+
+  /** Slots that may be used. */
+  private int capacity;
+
+  /** Workers with at least one slot that may be used. */
+  private int usable;
+
+  /** Slots in use. */
+  private int busy;
+
+  /** Slots in use by long work. */
+  private int longBusy;
+
+  WorkerPool(final RandomGenerator random) {
+    health = new ServiceHealth(random);
+  }
+
+  void put(final String vm, final String zone, final WorkerMode mode, final long nowNanos) {
+    final Worker present = workers.get(vm);
+    if (present == null) {
+      final int number = zones.computeIfAbsent(zone, this::newZone);
+      workers.put(vm, new Worker(vm, number, mode));
+      health.add(vm);
+    } else {
+      present.mode = mode;
+    }
+    refreshAll(nowNanos);
+  }
+
+  private int newZone(final String name) {
+    index.addZone();
+    return zones.size();
+  }
+
+  void remove(final String vm, final long nowNanos) {
+    final Worker worker = workers.remove(vm);
+    if (worker != null) {
+      index.remove(worker);
+      setCapacity(worker, 0);
+      health.remove(vm);
+      refreshAll(nowNanos);
+    }
+  }
+
+  Worker worker(final String vm) {
+    return workers.get(vm);
+  }
+
+  Worker find(final Demand demand, final boolean longWork) {
+    return index.free(longWork)
+        ? index.find(demand, zones.getOrDefault(demand.availabilityZone(), 0), longWork)
+        : null;
+  }
+
+  boolean free(final boolean longWork) {
+    return index.free(longWork);
+  }
+
+  void take(final Worker worker, final boolean longWork) {
+    worker.busy++;
+    busy++;
+    countLong(worker, longWork ? 1 : 0);
+  }
+
+  void giveBack(final Worker worker, final boolean longWork) {
+    worker.busy--;
+    busy--;
+    countLong(worker, longWork ? -1 : 0);
+  }
+
+  void countLong(final Worker worker, final int change) {
+    worker.longBusy += change;
+    longBusy += change;
+    if (workers.get(worker.vm) == worker) {
+      index.update(worker);
+    }
+  }
+
+  void ended(final Worker worker, final UseResult result, final long nowNanos) {
+    if (workers.get(worker.vm) == worker && result != UseResult.NEUTRAL) {
+      if (result == UseResult.FAILED) {
+        health.failed(worker.vm, nowNanos);
+        refreshFailing(nowNanos);
+      } else if (health.state(worker.vm, nowNanos) != HealthState.HEALTHY || !failing.isEmpty()) {
+        health.succeeded(worker.vm);
+        refreshFailing(nowNanos);
+      } else {
+        health.succeeded(worker.vm);
+      }
+    }
+  }
+
+  /** Looks for ended back-offs; returns whether workers may have become usable. */
+  boolean advance(final long nowNanos) {
+    final boolean due = !failing.isEmpty() && nowNanos - checkedNanos >= HEALTH_INTERVAL_NANOS;
+    if (due) {
+      refreshFailing(nowNanos);
+    }
+    return due;
+  }
+
+  private void refreshAll(final long nowNanos) {
+    workers.values().forEach(worker -> refresh(worker, nowNanos));
+  }
+
+  private void refreshFailing(final long nowNanos) {
+    final List<String> before = failing;
+    checkedNanos = nowNanos;
+    failing = new ArrayList<>(health.failingWorkers());
+    before.forEach(vm -> refresh(workers.get(vm), nowNanos));
+    failing.forEach(vm -> refresh(workers.get(vm), nowNanos));
+  }
+
+  private void refresh(final Worker worker, final long nowNanos) {
+    if (worker != null) {
+      final HealthState state = health.state(worker.vm, nowNanos);
+      int slots = 0;
+      if (worker.mode != WorkerMode.DRAINING && state != HealthState.WITHDRAWN) {
+        final boolean whole = worker.mode == WorkerMode.OPEN && state == HealthState.HEALTHY;
+        slots = whole ? Worker.SLOTS : 1;
+      }
+      setCapacity(worker, slots);
+      index.update(worker);
+    }
+  }
+
+  private void setCapacity(final Worker worker, final int slots) {
+    capacity += slots - worker.capacity;
+    usable += Integer.signum(slots) - Integer.signum(worker.capacity);
+    worker.capacity = slots;
+  }
+
+  boolean canServe(final Set<String> excluded) {
+    int left = usable;
+    for (final String vm : excluded) {
+      final Worker worker = workers.get(vm);
+      left -= worker != null && worker.capacity > 0 ? 1 : 0;
+    }
+    return left > 0;
+  }
+
+  Set<String> unhealthy() {
+    return health.unhealthy();
+  }
+
+  Set<String> vms() {
+    return Set.copyOf(workers.keySet());
+  }
+
+  int capacity() {
+    return capacity;
+  }
+
+  int busy() {
+    return busy;
+  }
+
+  int longBusy() {
+    return longBusy;
+  }
+}
