--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/capacity/PoolNeed.java
@@ -0,0 +1,109 @@
+package org.lentilsail.policy.capacity;
+
+/** How many VMs a pool needs now, needed lately, and has been short of. */
+final class PoolNeed {
+  /** Milliseconds in a second. */
+  private static final double MILLIS = 1_000;
+
+  /** VMs needed now. */
+  private int now;
+
+  /** Most VMs needed in the current half of the window. */
+  private int highest;
+
+  /** Most VMs needed in the previous half of the window. */
+  private int highestBefore;
+
+  /** Wall clock time at which the current half of the window began. */
+  private long halfBeganMillis;
+
+  /** Shortage in VM-seconds since the pool last had enough. */
+  private double shortVmSeconds;
+
+  /** Wall clock time since which the pool has had VMs to spare, 0 while it has none. */
+  private long surplusSinceMillis;
+
+  /** Wall clock time of the last account of shortage. */
+  private long accountedMillis;
+
+  /**
+   * Creates a need of 0 VMs.
+   *
+   * @param nowMillis wall clock time in ms since the Unix epoch
+   */
+  PoolNeed(final long nowMillis) {
+    halfBeganMillis = nowMillis;
+    accountedMillis = nowMillis;
+  }
+
+  /**
+   * Notes the present need.
+   *
+   * @param vms VMs needed now
+   * @param nowMillis wall clock time in ms since the Unix epoch
+   * @param windowMillis time in ms for which a need is remembered
+   */
+  void update(final int vms, final long nowMillis, final long windowMillis) {
+    now = vms;
+    if (nowMillis - halfBeganMillis >= windowMillis / 2) {
+      halfBeganMillis = nowMillis;
+      highestBefore = highest;
+      highest = vms;
+    }
+    highest = Math.max(highest, vms);
+  }
+
+  /**
+   * Accounts for the shortage or surplus since the last round.
+   *
+   * @param have VMs that the pool has or is about to get
+   * @param nowMillis wall clock time in ms since the Unix epoch
+   */
+  void account(final int have, final long nowMillis) {
+    final double seconds = (nowMillis - accountedMillis) / MILLIS;
+    accountedMillis = nowMillis;
+    shortVmSeconds = now > have ? shortVmSeconds + (now - have) * seconds : 0;
+    if (have <= lately()) {
+      surplusSinceMillis = 0;
+    } else if (surplusSinceMillis == 0) {
+      surplusSinceMillis = nowMillis;
+    }
+  }
+
+  /**
+   * Returns the VMs needed now.
+   *
+   * @return the number of VMs
+   */
+  int now() {
+    return now;
+  }
+
+  /**
+   * Returns the most VMs needed lately.
+   *
+   * @return the number of VMs
+   */
+  int lately() {
+    return Math.max(highest, highestBefore);
+  }
+
+  /**
+   * Returns how long and how much the pool has been short.
+   *
+   * @return VM-seconds
+   */
+  double shortVmSeconds() {
+    return shortVmSeconds;
+  }
+
+  /**
+   * Returns how long the pool has had VMs to spare.
+   *
+   * @param nowMillis wall clock time in ms since the Unix epoch
+   * @return ms, 0 when it has none
+   */
+  long surplusMillis(final long nowMillis) {
+    return surplusSinceMillis == 0 ? 0 : nowMillis - surplusSinceMillis;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Moves of VMs between pools. */
+package org.lentilsail.policy.capacity;
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/control/ProbeAction.java
@@ -0,0 +1,10 @@
+package org.lentilsail.policy.control;
+
+/**
+ * Sends a probe to a VM that verifies and has got no requests.
+ *
+ * @param vm name of the VM
+ * @param address IP address and port of its backend server
+ * @param path path of the probe
+ */
+public record ProbeAction(String vm, String address, String path) implements ControlAction {}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/control/RoundInput.java
@@ -0,0 +1,32 @@
+package org.lentilsail.policy.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lentilsail.model.fleet.FleetDocument;
+import org.lentilsail.model.record.Records;
+import org.lentilsail.policy.capacity.PolicyWeights;
+import org.lentilsail.policy.fleet.HeardReport;
+import org.lentilsail.policy.fleet.VmObservation;
+
+/**
+ * Everything that a control round depends on, besides its memory.
+ *
+ * @param records the operators' records
+ * @param document the fleet document
+ * @param revision revision of the fleet document
+ * @param vms the platform's list, empty when it is not known
+ * @param reports the daemons' last reports
+ * @param probed probes answered by VMs since they began to verify
+ * @param nowMillis wall clock time in ms since the Unix epoch
+ * @param weights weights of the metrics
+ */
+public record RoundInput(
+    Records records,
+    FleetDocument document,
+    long revision,
+    Optional<List<VmObservation>> vms,
+    List<HeardReport> reports,
+    Map<String, Integer> probed,
+    long nowMillis,
+    PolicyWeights weights) {}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/control/RoundResult.java
@@ -0,0 +1,12 @@
+package org.lentilsail.policy.control;
+
+import java.util.List;
+import org.lentilsail.model.fleet.FleetDocument;
+
+/**
+ * Outcome of a control round.
+ *
+ * @param document the new fleet document, equal to the old one when nothing has changed
+ * @param actions what to do once the document has been written
+ */
+public record RoundResult(FleetDocument document, List<ControlAction> actions) {}
