--- /dev/null
+++ b/policy/src/test/java/org/lentilsail/policy/scenario/FakeVm.java
@@ -0,0 +1,67 @@
+package org.lentilsail.policy.scenario;
+
+import org.lentilsail.policy.control.OperateAction;
+import org.lentilsail.policy.fleet.VmObservation;
+import org.lentilsail.policy.fleet.VmState;
+
+/** A VM as it really is, behind the platform's lagging list. */
+final class FakeVm {
+  /** Time in ms that a reboot takes. */
+  private static final long REBOOT_MILLIS = 3_000;
+
+  final String name;
+  final String zone;
+  final String rack;
+  final String pool;
+  VmState state = VmState.LIVE;
+  boolean draining;
+  boolean answers = true;
+  boolean returns = true;
+  boolean checkpoints;
+  long workUntil;
+  long bootingUntil;
+  long generation = 1;
+  int responses;
+  int reboots;
+
+  FakeVm(final String name, final String pool, final String zone, final String rack) {
+    this.name = name;
+    this.pool = pool;
+    this.zone = zone;
+    this.rack = rack;
+  }
+
+  boolean up(final long now) {
+    return state != VmState.GONE && now >= bootingUntil;
+  }
+
+  int running(final long now) {
+    return now < workUntil ? 1 : 0;
+  }
+
+  VmObservation observe(final long now) {
+    final long seen = now < bootingUntil ? generation - 1 : generation;
+    return new VmObservation(
+        name, name + ":80", zone, rack, pool, state, draining, running(now), seen);
+  }
+
+  /** Does what the platform does; a reboot that cuts off work is a failure of the rules. */
+  void operate(final OperateAction action, final long now) {
+    if (action.bootGeneration() == generation && state != VmState.GONE) {
+      switch (action.operation()) {
+        case DRAIN -> draining = true;
+        case UNDRAIN -> draining = false;
+        case CHECKPOINT -> workUntil = checkpoints ? now : workUntil;
+        default -> {
+          if (running(now) > 0) {
+            throw new AssertionError("reboot of " + name + " cuts off running work");
+          }
+          reboots++;
+          generation++;
+          draining = false;
+          bootingUntil = returns ? now + REBOOT_MILLIS : Long.MAX_VALUE;
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/org/lentilsail/policy/scenario/RandomFaultsTest.java
@@ -0,0 +1,103 @@
+package org.lentilsail.policy.scenario;
+
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against combinations of faults that nobody listed: under random faults no planned stop
+ * exceeds a budget, no reboot cuts off running work, and no VM leaves the document's pools. The
+ * budgets and reboots are checked by the world at each step.
+ */
+class RandomFaultsTest {
+  private static final int STEPS = 4_000;
+  private static final List<String> SETUP =
+      List.of(
+          "pool a minimum 2",
+          "pool b minimum 2",
+          "pool s spare",
+          "service x on a",
+          "service y on b",
+          "budget x 2",
+          "budget y 1",
+          "daemon e1 in z1",
+          "daemon e2 in z2",
+          "vms a1,a2,a3 in a zone z1 rack r1",
+          "vms a4,a5,a6 in a zone z2 rack r2",
+          "vms b1,b2 in b zone z1 rack r1",
+          "vms b3,b4 in b zone z2 rack r2",
+          "vms s1,s2 in s zone z1 rack r3",
+          "actions are duplicated",
+          "lag 2s",
+          "wave w pools a,b parallel 4 halt 3 automatic return 20");
+  private static final List<String> FAULTS =
+      List.of(
+          "vm V stops",
+          "vm V answers",
+          "vm V answers",
+          "vm V gone",
+          "vm V live",
+          "vm V live",
+          "vm V leaving",
+          "vm V works for 4s",
+          "vm V works for 9s",
+          "vm V works for 15s",
+          "hold V",
+          "hold V force",
+          "release V",
+          "release V",
+          "daemon e2 silent",
+          "daemon e2 heard",
+          "zone z1 silent",
+          "zone z1 heard",
+          "demand x N",
+          "demand y N",
+          "holder crashes",
+          "holder crashes after the write",
+          "lag 1s",
+          "lag 3s",
+          "wave w pools a,b parallel 4 halt 3 automatic return 20 run N");
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void noFaultBreaksTheGuarantees(final long seed) {
+    final Random random = new Random(seed);
+    final World world = new World();
+    final Events events = new Events(world);
+    SETUP.forEach(text -> events.apply(new ScenarioLine("setup", 0, text)));
+    world.settle();
+    final List<String> names = List.copyOf(world.vms.keySet());
+    for (int step = 0; step < STEPS; step++) {
+      String fault = "none";
+      try {
+        if (random.nextInt(6) == 0) {
+          fault =
+              FAULTS
+                  .get(random.nextInt(FAULTS.size()))
+                  .replace("V", names.get(random.nextInt(names.size())))
+                  .replace("N", String.valueOf(random.nextInt(60)));
+          final boolean work = fault.contains("works");
+          final FakeVm vm = world.vms.get(fault.split(" ")[1]);
+          // A VM that drains refuses work, and nothing sends work to one that is out of service.
+          if (!work || !vm.draining && vm.up(world.now()) && sendsWork(world, vm.name)) {
+            events.apply(new ScenarioLine("seed " + seed, step, fault));
+          }
+        }
+        world.tick();
+      } catch (final AssertionError e) {
+        fail("seed " + seed + ", step " + step + ", last fault '" + fault + "': " + e, e);
+      }
+    }
+    if (world.vms.values().stream().mapToInt(vm -> vm.reboots).sum() == 0) {
+      fail("seed " + seed + ": no VM was rebooted, so nothing was tested");
+    }
+  }
+
+  private static boolean sendsWork(final World world, final String vm) {
+    return world.document.vms().get(vm) != null
+        && world.document.vms().get(vm).phase() == org.lentilsail.model.fleet.VmPhase.IN_SERVICE;
+  }
+}
