Add records: parsing, versions, validation, amendment, stored form

Operators of different versions amend the same record. A stored document that cannot be read is left out and reported.

--- a/model/src/main/java/org/lentilsail/model/json/CheckedObject.java
+++ b/model/src/main/java/org/lentilsail/model/json/CheckedObject.java
@@ -178,6 +178,18 @@
     object.fieldNames().forEachRemaining(this::checkKnown);
   }
 
+  /** Does the same, but accepts an explicit null, which removes a field that is not known here. */
+  public void refuseUnknownValues() {
+    object
+        .fieldNames()
+        .forEachRemaining(
+            name -> {
+              if (!object.get(name).isNull()) {
+                checkKnown(name);
+              }
+            });
+  }
+
   private void checkKnown(final String name) {
     if (!known.contains(name)) {
       fault(
--- a/model/src/main/java/org/lentilsail/model/json/Fault.java
+++ b/model/src/main/java/org/lentilsail/model/json/Fault.java
@@ -19,8 +19,17 @@
         : field + " is " + value + ": " + remedy;
   }
 
-  /** Returns all faults, one to a line. */
-  public static String lines(final List<Fault> faults) {
-    return faults.stream().map(Fault::text).collect(Collectors.joining("\n"));
+  /** Returns a message that lists all faults of a document, one to a line. */
+  public static String message(final String document, final List<Fault> faults) {
+    return faults.stream()
+        .map(Fault::text)
+        .collect(
+            Collectors.joining(
+                "\n",
+                document
+                    + " has "
+                    + faults.size()
+                    + (faults.size() == 1 ? " fault:\n" : " faults:\n"),
+                ""));
   }
 }
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/record/BudgetReader.java
@@ -0,0 +1,41 @@
+package org.lentilsail.model.record;
+
+import org.lentilsail.model.json.CheckedObject;
+
+/** Reads the spec of an availability budget. */
+final class BudgetReader implements SpecReader<BudgetSpec> {
+  /** How to state the number of VMs that may be unavailable. */
+  private static final String REMEDY = "write either {\"count\": N} or {\"percent\": P}";
+
+  /** Stands for the form of budget that is not in use. */
+  private static final int NONE = -1;
+
+  @Override
+  public BudgetSpec read(
+      final String name, final CheckedObject spec, final int version, final ReadMode mode) {
+    final String service = SpecReaders.reference(spec, "service", "a service");
+    int count = NONE;
+    int percent = NONE;
+    int minimumPerZone = 0;
+    if (version == 1) {
+      // Version 1 cannot express a percentage, so its clients leave the field out to keep one.
+      if (spec.node("maxUnavailable").isEmpty() && mode != ReadMode.AMEND) {
+        spec.fault("maxUnavailable", "write how many VMs may be unavailable at once");
+      }
+      count = (int) spec.integer("maxUnavailable", 0, 0, SpecReaders.MAX_VMS);
+    } else {
+      final boolean stated = spec.node("maxUnavailable").isPresent();
+      final CheckedObject limit = spec.inner("maxUnavailable");
+      count = (int) limit.integer("count", NONE, 0, SpecReaders.MAX_VMS);
+      percent = (int) limit.integer("percent", NONE, 0, 100);
+      if (mode != ReadMode.STORED) {
+        limit.refuseUnknownValues();
+      }
+      if (!stated || limit.node("count").isPresent() == limit.node("percent").isPresent()) {
+        spec.fault("maxUnavailable", REMEDY);
+      }
+      minimumPerZone = (int) spec.integer("minimumPerZone", 0, 0, SpecReaders.MAX_VMS);
+    }
+    return new BudgetSpec(name, service, count, percent, minimumPerZone);
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/record/HoldReader.java
@@ -0,0 +1,16 @@
+package org.lentilsail.model.record;
+
+import org.lentilsail.model.json.CheckedObject;
+
+/** Reads the spec of a hold. */
+final class HoldReader implements SpecReader<HoldSpec> {
+  @Override
+  public HoldSpec read(
+      final String name, final CheckedObject spec, final int version, final ReadMode mode) {
+    return new HoldSpec(
+        name,
+        spec.requiredText("vm", text -> text.matches("\\S+"), "write the name of a VM"),
+        spec.flag("force", false),
+        spec.text("reason", "", text -> true, "write a text"));
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/record/RecordsBuilder.java
@@ -0,0 +1,93 @@
+package org.lentilsail.model.record;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.lentilsail.model.error.LentilsailException;
+import org.lentilsail.model.json.CheckedObject;
+import org.lentilsail.model.json.Fault;
+
+/** Builds the records from stored documents; one that cannot be read is left out and reported. */
+public final class RecordsBuilder {
+  /** Pools by name. */
+  private final Map<String, PoolSpec> pools = new HashMap<>();
+
+  /** Services by name. */
+  private final Map<String, ServiceSpec> services = new HashMap<>();
+
+  /** Budgets by name. */
+  private final Map<String, BudgetSpec> budgets = new HashMap<>();
+
+  /** Waves by name. */
+  private final Map<String, WaveSpec> waves = new HashMap<>();
+
+  /** Holds by name. */
+  private final Map<String, HoldSpec> holds = new HashMap<>();
+
+  /** Why documents could not be read, by key of the platform. */
+  private final Map<String, String> unreadable = new TreeMap<>();
+
+  /**
+   * Adds a stored document. Keys that do not start with {@link RecordKey#PREFIX} are ignored.
+   *
+   * @param platformKey key of the platform
+   * @param json the stored value
+   * @return this builder
+   */
+  public RecordsBuilder add(final String platformKey, final JsonNode json) {
+    if (platformKey.startsWith(RecordKey.PREFIX)) {
+      RecordKey.parse(platformKey)
+          .ifPresentOrElse(
+              key -> read(key, json),
+              () -> unreadable.put(platformKey, "the key names no known kind of record"));
+    }
+    return this;
+  }
+
+  /** Returns the records that could be read. */
+  public Records build() {
+    return new Records(pools, services, budgets, waves, holds);
+  }
+
+  /** Returns why documents could not be read, by key of the platform. */
+  public Map<String, String> unreadable() {
+    return Map.copyOf(unreadable);
+  }
+
+  private void read(final RecordKey key, final JsonNode json) {
+    try {
+      final StoredRecord stored = StoredRecord.parse(key, json);
+      final List<Fault> faults = new ArrayList<>();
+      final Object spec =
+          readTolerantly(stored, new CheckedObject("spec", stored.spec(), faults::add));
+      RecordParser.refuse("stored " + key, faults);
+      put(key.name(), spec);
+    } catch (final LentilsailException error) {
+      unreadable.put(key.platformKey(), error.getMessage());
+    }
+  }
+
+  private void put(final String name, final Object spec) {
+    if (spec instanceof PoolSpec pool) {
+      pools.put(name, pool);
+    } else if (spec instanceof ServiceSpec service) {
+      services.put(name, service);
+    } else if (spec instanceof BudgetSpec budget) {
+      budgets.put(name, budget);
+    } else if (spec instanceof WaveSpec wave) {
+      waves.put(name, wave);
+    } else if (spec instanceof HoldSpec hold) {
+      holds.put(name, hold);
+    }
+  }
+
+  /** Reads a stored spec in the newest known form; fields that are not known are ignored. */
+  static Object readTolerantly(final StoredRecord stored, final CheckedObject spec) {
+    final RecordKind kind = stored.key().kind();
+    final int version = Math.min(stored.schemaVersion(), kind.newestVersion());
+    return SpecReaders.read(kind, stored.key().name(), spec, version, ReadMode.STORED);
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/record/ServiceReader.java
@@ -0,0 +1,69 @@
+package org.lentilsail.model.record;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.lentilsail.model.json.CheckedObject;
+
+/** Reads the spec of a service. */
+final class ServiceReader implements SpecReader<ServiceSpec> {
+  /** Longest run of a request in ms when the record names none. */
+  private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+
+  /** Limit of the longest run of a request in ms. */
+  private static final long MAX_TIMEOUT_MILLIS = 24 * 3_600_000L;
+
+  /** Work expected to take less than this many ms is short when the record names no limit. */
+  private static final long DEFAULT_SHORT_MILLIS = 200;
+
+  /** Most requests that wait when the record names no limit. */
+  private static final long DEFAULT_QUEUE_LIMIT = 256;
+
+  /** Largest number of requests that may wait. */
+  private static final long MAX_QUEUE_LIMIT = 1_000_000;
+
+  /** Largest weight of a team. */
+  private static final long MAX_WEIGHT = 1_000_000;
+
+  @Override
+  public ServiceSpec read(
+      final String name, final CheckedObject spec, final int version, final ReadMode mode) {
+    final String pool = SpecReaders.reference(spec, "pool", "a pool");
+    final String probePath =
+        spec.text(
+            "probePath",
+            "/",
+            text -> text.matches("/[!-~]*"),
+            "write a path that begins with / and has no spaces");
+    long timeoutMillis = DEFAULT_TIMEOUT_MILLIS;
+    long shortMillis = DEFAULT_SHORT_MILLIS;
+    long queueLimit = DEFAULT_QUEUE_LIMIT;
+    Map<String, Integer> teams = Map.of();
+    if (version == 1) {
+      timeoutMillis = spec.integer("timeoutMillis", DEFAULT_TIMEOUT_MILLIS, 1, MAX_TIMEOUT_MILLIS);
+    } else {
+      final CheckedObject timeout = spec.inner("timeout");
+      timeoutMillis = timeout.integer("millis", DEFAULT_TIMEOUT_MILLIS, 1, MAX_TIMEOUT_MILLIS);
+      if (mode != ReadMode.STORED) {
+        timeout.refuseUnknownValues();
+      }
+      shortMillis = spec.integer("shortMillis", DEFAULT_SHORT_MILLIS, 1, MAX_TIMEOUT_MILLIS);
+      queueLimit = spec.integer("queueLimit", DEFAULT_QUEUE_LIMIT, 0, MAX_QUEUE_LIMIT);
+      teams = teams(spec);
+    }
+    return new ServiceSpec(
+        name, pool, probePath, timeoutMillis, shortMillis, (int) queueLimit, teams);
+  }
+
+  private static Map<String, Integer> teams(final CheckedObject spec) {
+    final Map<String, Integer> weights = new LinkedHashMap<>();
+    final CheckedObject teams = spec.inner("teams");
+    final JsonNode named =
+        spec.node("teams").filter(JsonNode::isObject).orElse(JsonNodeFactory.instance.objectNode());
+    named
+        .fieldNames()
+        .forEachRemaining(team -> weights.put(team, (int) teams.integer(team, 1, 1, MAX_WEIGHT)));
+    return weights;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/record/SpecReader.java
@@ -0,0 +1,21 @@
+package org.lentilsail.model.record;
+
+import org.lentilsail.model.json.CheckedObject;
+
+/**
+ * Reads and checks the spec of one kind in any schema version.
+ *
+ * @param <T> type of the spec
+ */
+interface SpecReader<T> {
+  /**
+   * Reads a spec.
+   *
+   * @param name name of the record
+   * @param spec the fields
+   * @param version schema version in which they are written
+   * @param mode where the spec comes from
+   * @return the spec in its newest form
+   */
+  T read(String name, CheckedObject spec, int version, ReadMode mode);
+}
--- /dev/null
+++ b/model/src/main/java/org/lentilsail/model/record/SpecReaders.java
@@ -0,0 +1,38 @@
+package org.lentilsail.model.record;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.lentilsail.model.json.CheckedObject;
+
+/** Chooses the reader of a kind. */
+final class SpecReaders {
+  /** Largest number of VMs in a field; far above any fleet, so that sums stay within an int. */
+  static final int MAX_VMS = 1_000_000;
+
+  /** Readers by kind. */
+  private static final Map<RecordKind, SpecReader<?>> READERS =
+      new EnumMap<>(
+          Map.of(
+              RecordKind.POOL, new PoolReader(),
+              RecordKind.SERVICE, new ServiceReader(),
+              RecordKind.BUDGET, new BudgetReader(),
+              RecordKind.WAVE, new WaveReader(),
+              RecordKind.HOLD, new HoldReader()));
+
+  private SpecReaders() {}
+
+  /** Reads a spec with the reader of its kind. */
+  static Object read(
+      final RecordKind kind,
+      final String name,
+      final CheckedObject spec,
+      final int version,
+      final ReadMode mode) {
+    return READERS.get(kind).read(name, spec, version, mode);
+  }
+
+  /** Reads the name of another record. */
+  static String reference(final CheckedObject spec, final String field, final String what) {
+    return spec.requiredText(field, RecordKey::validName, "write the name of " + what);
+  }
+}
--- a/model/src/main/java/org/lentilsail/model/settings/SettingsLoader.java
+++ b/model/src/main/java/org/lentilsail/model/settings/SettingsLoader.java
@@ -44,7 +44,7 @@
     if (!reader.faults().isEmpty()) {
       throw new LentilsailException(
           ErrorCode.INVALID_SETTINGS,
-          source + " has " + reader.faults().size() + " faults:\n" + Fault.lines(reader.faults()),
+          Fault.message(source, reader.faults()),
           "correct the listed fields");
     }
     return settings;
