--- /dev/null
+++ b/library/src/main/java/org/lentilsail/dispatch/DaemonPlace.java
@@ -0,0 +1,9 @@
+package org.lentilsail.dispatch;
+
+/**
+ * Tells where a daemon runs.
+ *
+ * @param availabilityZone availability zone of the daemon
+ * @param region region of the daemon
+ */
+public record DaemonPlace(String availabilityZone, String region) {}
--- a/policy/src/main/java/org/lentilsail/policy/dispatch/ServiceDispatcher.java
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/ServiceDispatcher.java
@@ -1,10 +1,5 @@
 package org.lentilsail.policy.dispatch;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.lentilsail.model.fleet.ServiceLoad;
@@ -26,6 +21,9 @@
    */
   private static final int LONG_MINIMUM_DIVISOR = 8;
 
+  /** Time in ns within which a grant reaches its daemon or is lost. */
+  private static final long GRANT_LIMIT_NANOS = 2_000_000_000L;
+
   /** Hears the decisions. */
   private final DispatchListener listener;
 
@@ -39,10 +37,7 @@
   private final DemandQueue queue = new DemandQueue();
 
   /** Requests that hold slots. */
-  private final Map<DemandId, Running> running = new HashMap<>();
-
-  /** Running short work in order of start, to find what outlives its class. */
-  private final Deque<Running> shortRunning = new ArrayDeque<>();
+  private final RunningRequests running;
 
   /** Settings of the service. */
   private DispatchSettings settings;
@@ -64,6 +59,7 @@
     this.settings = settings;
     this.listener = listener;
     this.pool = new WorkerPool(random);
+    this.running = new RunningRequests(pool);
   }
 
   /**
@@ -101,18 +97,22 @@
 
   /**
    * Asks for a slot. The listener hears of a grant or an early refusal before this method returns;
-   * otherwise the demand waits. A repeat of a demand that is known changes nothing.
+   * otherwise the demand waits. A repeat changes nothing; when the demand has a slot, the listener
+   * hears of the grant again, as the first message may be lost.
    *
    * @param demand what is needed
    * @param nowNanos monotonic time
    */
   public void submit(final Demand demand, final long nowNanos) {
     advance(nowNanos);
-    if (!AttemptLimit.mayTryAgain(demand.excludedVms().size())) {
+    final Running use = running.find(demand.id());
+    if (use != null) {
+      listener.granted(demand.id(), use.worker.vm);
+    } else if (!AttemptLimit.mayTryAgain(demand.excludedVms().size())) {
       listener.refused(demand.id(), RefusalReason.STOPPED);
     } else if (!pool.canServe(demand.excludedVms())) {
       refuse(demand.id(), RefusalReason.NO_WORKER);
-    } else if (queue.find(demand.id()) == null && !running.containsKey(demand.id())) {
+    } else if (queue.find(demand.id()) == null) {
       enqueue(demand, nowNanos);
     }
   }
@@ -164,9 +164,8 @@
    */
   public void release(
       final DemandId id, final UseResult result, final long runNanos, final long nowNanos) {
-    final Running use = running.remove(id);
+    final Running use = running.end(id);
     if (use != null) {
-      free(use);
       pool.ended(use.worker, result, nowNanos);
       final Demand demand = use.demand;
       if (result == UseResult.OK) {
@@ -182,11 +181,6 @@
     startAll(nowNanos);
   }
 
-  private void free(final Running use) {
-    use.ended = true;
-    pool.giveBack(use.worker, use.longWork);
-  }
-
   /**
    * Takes over a slot that a daemon reports as in use, which another dispatcher has granted.
    *
@@ -198,15 +192,12 @@
   public void adopt(
       final Demand demand, final String vm, final long startedNanos, final long nowNanos) {
     final Worker worker = pool.worker(vm);
-    if (worker != null && !running.containsKey(demand.id())) {
+    if (worker != null && running.find(demand.id()) == null) {
       final Waiting entry = queue.find(demand.id());
       if (entry != null) {
         queue.remove(entry);
       }
-      final Running use = new Running(demand, worker, null, startedNanos, 0);
-      running.put(demand.id(), use);
-      pool.take(worker, false);
-      shortRunning.addFirst(use);
+      running.adopt(new Running(demand, worker, null, startedNanos, 0));
       advance(nowNanos);
     }
   }
@@ -218,16 +209,28 @@
    * @param nowNanos monotonic time
    */
   public void freeDaemon(final String daemon, final long nowNanos) {
-    final List<Running> uses =
-        running.values().stream().filter(use -> use.demand.id().daemon().equals(daemon)).toList();
-    for (final Running use : uses) {
-      running.remove(use.demand.id());
-      free(use);
-    }
+    running.endWhere(use -> use.demand.id().daemon().equals(daemon));
     queue.of(daemon).forEach(queue::remove);
     startAll(nowNanos);
   }
 
+  /**
+   * Frees the slots that a daemon does not hold although it was granted them, as a message was
+   * lost. Slots granted a short time ago are kept, since the grant may be on its way.
+   *
+   * @param daemon id of the daemon
+   * @param held the demands of the daemon that hold slots
+   * @param nowNanos monotonic time
+   */
+  public void reconcile(final String daemon, final Set<DemandId> held, final long nowNanos) {
+    running.endWhere(
+        use ->
+            use.demand.id().daemon().equals(daemon)
+                && !held.contains(use.demand.id())
+                && nowNanos - use.startedNanos > GRANT_LIMIT_NANOS);
+    startAll(nowNanos);
+  }
+
   /**
    * Does what is due: refuses demands past their deadline, reclassifies work, ends back-offs.
    *
@@ -237,24 +240,12 @@
     for (Waiting late = queue.late(nowNanos); late != null; late = queue.late(nowNanos)) {
       refuseWaiting(late, RefusalReason.DEADLINE);
     }
-    reclassify(nowNanos);
+    running.reclassify(settings.reclassifyNanos(), nowNanos);
     if (pool.advance(nowNanos)) {
       startAll(nowNanos);
     }
   }
 
-  private void reclassify(final long nowNanos) {
-    while (!shortRunning.isEmpty()
-        && (shortRunning.peek().ended
-            || nowNanos - shortRunning.peek().startedNanos >= settings.reclassifyNanos())) {
-      final Running use = shortRunning.poll();
-      if (!use.ended) {
-        use.longWork = true;
-        pool.countLong(use.worker, 1);
-      }
-    }
-  }
-
   private void refuse(final DemandId id, final RefusalReason reason) {
     refused++;
     listener.refused(id, reason);
@@ -299,11 +290,7 @@
     final Running use =
         new Running(entry.demand, worker, entry.lane, nowNanos, entry.expectedNanos);
     use.longWork = longWork;
-    running.put(entry.demand.id(), use);
-    pool.take(worker, longWork);
-    if (!longWork) {
-      shortRunning.add(use);
-    }
+    running.start(use);
     listener.granted(entry.demand.id(), worker.vm);
   }
 
@@ -334,7 +321,7 @@
    */
   public DispatchFigures figures() {
     return new DispatchFigures(
-        pool.vms().size(),
+        pool.size(),
         pool.capacity(),
         pool.busy(),
         pool.longBusy(),
--- a/policy/src/main/java/org/lentilsail/policy/dispatch/WorkerPool.java
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/WorkerPool.java
@@ -57,7 +57,8 @@
     } else {
       present.mode = mode;
     }
-    refreshAll(nowNanos);
+    refreshFailing(nowNanos);
+    refresh(workers.get(vm), nowNanos);
   }
 
   private int newZone(final String name) {
@@ -71,7 +72,7 @@
       index.remove(worker);
       setCapacity(worker, 0);
       health.remove(vm);
-      refreshAll(nowNanos);
+      refreshFailing(nowNanos);
     }
   }
 
@@ -132,10 +133,6 @@
     return due;
   }
 
-  private void refreshAll(final long nowNanos) {
-    workers.values().forEach(worker -> refresh(worker, nowNanos));
-  }
-
   private void refreshFailing(final long nowNanos) {
     final List<String> before = failing;
     checkedNanos = nowNanos;
@@ -176,8 +173,8 @@
     return health.unhealthy();
   }
 
-  Set<String> vms() {
-    return Set.copyOf(workers.keySet());
+  int size() {
+    return workers.size();
   }
 
   int capacity() {
