--- a/policy/src/test/java/org/lentilsail/policy/scenario/ScenarioTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/scenario/ScenarioTest.java
@@ -25,7 +25,7 @@
 
   @ParameterizedTest
   @MethodSource("files")
-  void holds(final String file) throws IOException {
+  void passes(final String file) throws IOException {
     final World world = new World();
     final Events events = new Events(world);
     final List<ScenarioLine> timed = new ArrayList<>();
@@ -77,14 +77,7 @@
     final boolean result;
     if (line.word(1).equals("wave")) {
       final WaveProgress wave = world.document.waves().get(line.word(2));
-      result =
-          wave != null
-              && switch (state) {
-                case "finished" -> wave.finishedMillis() > 0;
-                case "halted" -> wave.halted();
-                case "done" -> wave.done().size() == line.number(value);
-                default -> throw line.error("unknown state of a wave '" + state + "'");
-              };
+      result = wave != null && waveIs(wave, line, state, value);
     } else {
       final VmEntry vm = world.document.vms().get(line.word(2));
       result =
@@ -97,6 +90,16 @@
     return result != negated;
   }
 
+  private static boolean waveIs(
+      final WaveProgress wave, final ScenarioLine line, final String state, final String value) {
+    return switch (state) {
+      case "finished" -> wave.finishedMillis() > 0;
+      case "halted" -> wave.halted();
+      case "done" -> wave.done().size() == line.number(value);
+      default -> throw line.error("unknown state of a wave '" + state + "'");
+    };
+  }
+
   private static String actual(final World world, final ScenarioLine line) {
     return line.word(1).equals("wave")
         ? String.valueOf(world.document.waves().get(line.word(2)))
