--- a/daemon/src/main/java/org/lentilsail/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/lentilsail/daemon/EntryDaemon.java
@@ -1,15 +1,63 @@
 package org.lentilsail.daemon;
 
-/** Starts the program. */
+import java.nio.file.Path;
+import java.util.logging.Level;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.lentilsail.model.error.LentilsailException;
+import org.lentilsail.model.settings.EntrySettings;
+import org.lentilsail.model.settings.SettingsLoader;
+import org.tinylog.Logger;
+
+/** Program of the entry daemon: reads the settings and runs until SIGTERM. */
 public final class EntryDaemon {
+  /** Exit code for a wrong command line. */
+  private static final int EXIT_USAGE = 2;
+
+  /** Exit code when the daemon cannot start. */
+  private static final int EXIT_START = 1;
+
+  /** Logger of the network library; kept, because its level is lost with the last reference. */
+  private static final java.util.logging.Logger NETWORK_LOGGER =
+      java.util.logging.Logger.getLogger("org.xnio");
+
   private EntryDaemon() {}
 
   /**
-   * Runs the program.
+   * Runs the daemon.
    *
-   * @param args the command line
+   * @param args the command line: {@code --settings FILE}, and {@code --check} to read the settings
+   *     only
    */
   public static void main(final String[] args) {
-    System.exit(0);
+    NETWORK_LOGGER.setLevel(Level.WARNING);
+    final OptionParser parser = new OptionParser();
+    final OptionSpec<String> file =
+        parser.accepts("settings", "settings file").withRequiredArg().required();
+    parser.accepts("check", "read the settings, report faults, and exit");
+    try {
+      final OptionSet options = parser.parse(args);
+      final EntrySettings settings = SettingsLoader.load(Path.of(options.valueOf(file)));
+      if (!options.has("check")) {
+        run(settings);
+      }
+    } catch (final OptionException error) {
+      System.err.println(error.getMessage() + "; use --settings FILE [--check]");
+      System.exit(EXIT_USAGE);
+    } catch (final LentilsailException error) {
+      System.err.println(error.code().text() + ": " + error.getMessage());
+      System.err.println("remedy: " + error.remedy());
+      System.exit(error.code().exitCode());
+    } catch (final Exception error) {
+      Logger.error(error, "daemon: cannot start");
+      System.exit(EXIT_START);
+    }
+  }
+
+  private static void run(final EntrySettings settings) throws Exception {
+    final Daemon daemon = Daemon.start(settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "lentilsail-stop"));
   }
 }
--- /dev/null
+++ b/system/src/main/java/org/lentilsail/system/BackgroundLoad.java
@@ -0,0 +1,119 @@
+package org.lentilsail.system;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import org.lentilsail.http.HttpCall;
+import org.lentilsail.http.HttpField;
+import org.lentilsail.http.HttpResponse;
+
+/** Sends idempotent requests through all entry daemons in turn until it is stopped. */
+final class BackgroundLoad {
+  /** Nanoseconds in a second. */
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+  /** Time-out of a request. */
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  /** Most bytes of a response body. */
+  private static final int RESPONSE_LIMIT = 1 << 20;
+
+  /** The deployment. */
+  private final LocalFleet fleet;
+
+  /** Service that gets the requests. */
+  private final String service;
+
+  /** Requests per second. */
+  private final int perSecond;
+
+  /** Counts requests that are not answered yet. */
+  private final Phaser open = new Phaser(1);
+
+  /** Requests with outcome ran. */
+  private final AtomicInteger ran = new AtomicInteger();
+
+  /** Requests with outcome not-run. */
+  private final AtomicInteger refused = new AtomicInteger();
+
+  /** Requests with outcome unknown. */
+  private final AtomicInteger unknown = new AtomicInteger();
+
+  /** Requests with a wrong response. */
+  private final AtomicInteger wrong = new AtomicInteger();
+
+  /** Whether to go on. */
+  private volatile boolean running = true;
+
+  /** Sends the requests. */
+  private Thread sender;
+
+  BackgroundLoad(final LocalFleet fleet, final String service, final int perSecond) {
+    this.fleet = fleet;
+    this.service = service;
+    this.perSecond = perSecond;
+  }
+
+  void start() {
+    sender = new Thread(this::send, "background-load");
+    sender.setDaemon(true);
+    sender.start();
+  }
+
+  LoadSummary stop() throws InterruptedException {
+    running = false;
+    sender.join();
+    open.arriveAndAwaitAdvance();
+    return new LoadSummary(ran.get(), refused.get(), unknown.get(), wrong.get());
+  }
+
+  private void send() {
+    final List<Integer> ports = List.copyOf(fleet.addresses().callers().values());
+    for (int i = 0; running; i++) {
+      final String id = "load-" + i;
+      open.register();
+      fleet
+          .web()
+          .caller()
+          .call(call(ports.get(i % ports.size()), id))
+          .whenComplete(
+              (response, error) -> {
+                count(id, response);
+                open.arriveAndDeregister();
+              });
+      LockSupport.parkNanos(NANOS_PER_SECOND / perSecond);
+    }
+  }
+
+  private HttpCall call(final int port, final String id) {
+    return new HttpCall(
+        new InetSocketAddress("127.0.0.1", port),
+        "PUT",
+        "/" + service + "/tee-times/" + id,
+        List.of(new HttpField("Standin-Id", id), new HttpField("Standin-Run-Millis", "20")),
+        id.getBytes(StandardCharsets.UTF_8),
+        TIMEOUT,
+        RESPONSE_LIMIT);
+  }
+
+  private void count(final String id, final HttpResponse response) {
+    final String outcome =
+        response == null ? "" : response.field("Lentilsail-Outcome").orElse("");
+    final AtomicInteger counter =
+        switch (outcome) {
+          case "ran" -> isOwn(id, response) ? ran : wrong;
+          case "not-run" -> refused;
+          case "unknown" -> unknown;
+          default -> wrong;
+        };
+    counter.incrementAndGet();
+  }
+
+  private static boolean isOwn(final String id, final HttpResponse response) {
+    return new String(response.body(), StandardCharsets.UTF_8).contains(id);
+  }
+}
--- /dev/null
+++ b/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
@@ -0,0 +1,115 @@
+package org.lentilsail.system;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.lentilsail.http.HttpField;
+import org.lentilsail.http.HttpResponse;
+
+/** Shows the whole path: starts a small deployment, serves requests and runs a maintenance wave. */
+final class QuickstartCommand implements SystemCommand {
+  /** Requests per second during the wave. */
+  private static final int RATE = 200;
+
+  /** Longest time of the wave. */
+  private static final Duration WAVE_LIMIT = Duration.ofSeconds(50);
+
+  /** Time-out of a single request. */
+  private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
+
+  /** Name of the wave. */
+  private static final String WAVE = "monthly";
+
+  @Override
+  public String name() {
+    return "quickstart";
+  }
+
+  @Override
+  public int run(final String[] args) throws Exception {
+    final boolean right;
+    final long start = System.nanoTime();
+    try (LocalFleet fleet = LocalFleet.start(DeploymentPlan.smallFairway())) {
+      say(start, "7 entry daemons, 12 backend servers and the platform stand-in run");
+      SampleRecords.apply(fleet);
+      say(start, "pools, services and budgets are in force on every daemon");
+      right = serveOnce(fleet, start) & maintain(fleet, start) & stopAll(fleet, start);
+    }
+    say(start, right ? "everything was right" : "something was wrong, see above");
+    return right ? 0 : 1;
+  }
+
+  private boolean serveOnce(final LocalFleet fleet, final long start) {
+    final int port = fleet.addresses().callers().get("e1");
+    final HttpResponse response =
+        fleet
+            .web()
+            .send(
+                port,
+                "POST",
+                "/booking/tee-times",
+                List.of(new HttpField("Idempotency-Key", key(fleet, port))),
+                "four players at 08:10",
+                REQUEST_TIMEOUT);
+    final String outcome = response.field("Lentilsail-Outcome").orElse("none");
+    say(start, "a booking through e1: status " + response.status() + ", outcome " + outcome);
+    return response.status() == 200 && outcome.equals("ran");
+  }
+
+  private static String key(final LocalFleet fleet, final int port) {
+    final HttpResponse response =
+        fleet
+            .web()
+            .send(port, "POST", "/lentilsail/keys?count=1", List.of(), "", REQUEST_TIMEOUT);
+    final String body = new String(response.body(), StandardCharsets.UTF_8);
+    final java.util.regex.Matcher matcher =
+        java.util.regex.Pattern.compile("[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}").matcher(body);
+    if (!matcher.find()) {
+      throw new IllegalStateException("no key in the response: " + body);
+    }
+    return matcher.group();
+  }
+
+  private boolean maintain(final LocalFleet fleet, final long start) throws Exception {
+    final BackgroundLoad load = new BackgroundLoad(fleet, SampleRecords.SERVICE, RATE);
+    load.start();
+    final CliResult applied =
+        fleet.cli("apply", SampleRecords.file(fleet, "wave.json").toString());
+    say(start, "wave applied: exit code " + applied.exitCode());
+    boolean result = applied.exitCode() == 0;
+    try {
+      Await.until("the end of the wave", WAVE_LIMIT, () -> isFinished(fleet));
+      say(start, "wave finished: all 12 VMs were rebooted one after the other in each pool");
+    } catch (final IllegalStateException late) {
+      say(start, late.getMessage());
+      result = false;
+    }
+    final CliResult status = fleet.cli("status", WAVE);
+    System.out.print(status.output());
+    final LoadSummary summary = load.stop();
+    say(start, summary.text());
+    return result && summary.wrong() == 0 && status.exitCode() == 0;
+  }
+
+  private static boolean isFinished(final LocalFleet fleet) throws Exception {
+    final JsonNode fleetState =
+        fleet.web().json(fleet.addresses().admins().get("e1"), "GET", "/v1/waves/" + WAVE, "");
+    return fleetState.toString().matches("(?s).*\"finishedMillis\":[1-9].*");
+  }
+
+  private boolean stopAll(final LocalFleet fleet, final long start) throws InterruptedException {
+    boolean result = true;
+    for (final EntryPlan entry : fleet.plan().entries()) {
+      final int exitCode = fleet.entry(entry.id()).stop();
+      result = result && exitCode == 0;
+    }
+    say(start, "entry daemons stopped " + (result ? "gracefully" : "with errors"));
+    return result;
+  }
+
+  private static void say(final long start, final String text) {
+    final double seconds = Duration.ofNanos(System.nanoTime() - start).toMillis() / 1_000.0;
+    System.out.printf(java.util.Locale.ROOT, "%6.1f s  %s%n", seconds, text);
+  }
+}
--- a/system/src/main/java/org/lentilsail/system/SystemMain.java
+++ b/system/src/main/java/org/lentilsail/system/SystemMain.java
@@ -1,7 +1,17 @@
 package org.lentilsail.system;
 
+import java.util.Arrays;
+import java.util.List;
+
 /** Runs whole deployments: the first argument names the subcommand. */
 public final class SystemMain {
+  /** Exit code for a wrong command line. */
+  private static final int EXIT_USAGE = 2;
+
+  /** The subcommands. */
+  private static final List<SystemCommand> COMMANDS =
+      List.of(new QuickstartCommand(), new BenchPathCommand());
+
   private SystemMain() {}
 
   /**
@@ -11,6 +21,19 @@
    * @throws Exception when the subcommand cannot go on
    */
   public static void main(final String[] args) throws Exception {
-    System.exit(2);
+    final int exitCode = run(args);
+    System.exit(exitCode);
+  }
+
+  private static int run(final String[] args) throws Exception {
+    for (final SystemCommand command : COMMANDS) {
+      if (args.length > 0 && command.name().equals(args[0])) {
+        return command.run(Arrays.copyOfRange(args, 1, args.length));
+      }
+    }
+    System.err.println(
+        "name a subcommand: "
+            + String.join(", ", COMMANDS.stream().map(SystemCommand::name).toList()));
+    return EXIT_USAGE;
   }
 }
