Add the distribution of configuration

Cause: an accepted configuration has to be in force everywhere within 2 s and must never go back.

Conclusion: sizes and times over sockets are measured next.

--- /dev/null
+++ b/library/src/main/java/org/lentilsail/config/ApplyResult.java
@@ -0,0 +1,11 @@
+package org.lentilsail.config;
+
+/** Tells what a batch of changes has done. */
+public enum ApplyResult {
+  /** The store reaches further than before. */
+  APPLIED,
+  /** The store reaches as far already. */
+  STALE,
+  /** Changes between the store and the batch are missing; nothing was applied. */
+  GAP
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/config/ChangeBatch.java
@@ -0,0 +1,19 @@
+package org.lentilsail.config;
+
+import java.util.List;
+import org.lentilsail.platform.Change;
+
+/**
+ * All changes between two revisions, or all values at one revision.
+ *
+ * @param full whether the changes are all values at {@code to} instead of what has changed
+ * @param from revision after which the changes begin, 0 for a full batch
+ * @param to revision up to which the batch reaches
+ * @param changes the changes in order of revision
+ */
+public record ChangeBatch(boolean full, long from, long to, List<Change> changes) {
+  /** Copies the list, so that the batch cannot change. */
+  public ChangeBatch {
+    changes = List.copyOf(changes);
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/config/Changes.java
@@ -0,0 +1,53 @@
+package org.lentilsail.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Optional;
+import org.lentilsail.peer.PeerMessage;
+import org.lentilsail.platform.Change;
+
+/**
+ * A batch of changes on its way between daemons.
+ *
+ * @param full whether these are all values instead of what has changed
+ * @param from revision after which the changes begin
+ * @param to revision up to which the batch reaches
+ * @param changes the changes
+ */
+record Changes(boolean full, long from, long to, List<Item> changes) implements PeerMessage {
+  /** Name of the type in frames. */
+  static final String NAME = "changes";
+
+  static Changes of(final ChangeBatch batch) {
+    return new Changes(
+        batch.full(),
+        batch.from(),
+        batch.to(),
+        batch.changes().stream()
+            .map(change -> new Item(change.key(), change.value().orElse(null), change.revision()))
+            .toList());
+  }
+
+  ChangeBatch batch() {
+    return new ChangeBatch(
+        full,
+        from,
+        to,
+        changes.stream()
+            .map(item -> new Change(item.key(), item.presentValue(), item.revision()))
+            .toList());
+  }
+
+  /**
+   * One change.
+   *
+   * @param key the key
+   * @param value the value, null for a deletion
+   * @param revision revision of the change
+   */
+  record Item(String key, JsonNode value, long revision) {
+    private Optional<JsonNode> presentValue() {
+      return value == null || value.isNull() ? Optional.empty() : Optional.of(value);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/lentilsail/peer/FakePeers.java
@@ -0,0 +1,91 @@
+package org.lentilsail.peer;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.lentilsail.ManualExecutor;
+import org.lentilsail.model.time.PausedTime;
+
+/**
+ * Connects fake peer networks on a paused clock. Messages go through the codec and arrive after a
+ * delay; links can be cut, and messages can arrive twice and late.
+ */
+public final class FakePeers {
+  final PausedTime time;
+  final ManualExecutor executor;
+  final Map<String, FakePeerNetwork> networks = new TreeMap<>();
+  private final Set<String> cut = new HashSet<>();
+  private Duration delay = Duration.ofMillis(1);
+  private Duration repeatAfter = Duration.ZERO;
+  private long bytes;
+
+  /** Creates peers without a network yet. */
+  public FakePeers(final PausedTime time, final ManualExecutor executor) {
+    this.time = time;
+    this.executor = executor;
+  }
+
+  /** Creates the network of a daemon. */
+  public FakePeerNetwork create(final String id, final String zone, final PeerStatus status) {
+    final FakePeerNetwork result = new FakePeerNetwork(this, id, zone, status);
+    networks.put(id, result);
+    return result;
+  }
+
+  /** Cuts or heals the links of a daemon with all others. */
+  public void isolate(final String id, final boolean isolated) {
+    for (final String other : networks.keySet()) {
+      cut(id, other, isolated);
+    }
+  }
+
+  /** Cuts or heals the link between two daemons. */
+  public void cut(final String one, final String other, final boolean isCut) {
+    if (isCut) {
+      cut.add(one + ">" + other);
+      cut.add(other + ">" + one);
+    } else {
+      cut.remove(one + ">" + other);
+      cut.remove(other + ">" + one);
+    }
+  }
+
+  /** Sets how long messages travel. */
+  public void setDelay(final Duration delay) {
+    this.delay = delay;
+  }
+
+  /** Lets each message arrive a second time, that much later. */
+  public void setRepeatAfter(final Duration later) {
+    this.repeatAfter = later;
+  }
+
+  /** Returns the bytes sent since the last call. */
+  public long takeBytes() {
+    final long result = bytes;
+    bytes = 0;
+    return result;
+  }
+
+  void transmit(final String from, final String to, final ByteBuffer frame) {
+    bytes += frame.remaining();
+    final byte[] body = new byte[frame.remaining() - FrameReader.HEADER_BYTES];
+    frame.position(FrameReader.HEADER_BYTES).get(body);
+    executor.schedule(() -> arrive(from, to, body), delay.toNanos(), TimeUnit.NANOSECONDS);
+    if (!repeatAfter.isZero()) {
+      executor.schedule(
+          () -> arrive(from, to, body), delay.plus(repeatAfter).toNanos(), TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private void arrive(final String from, final String to, final byte[] body) {
+    final FakePeerNetwork target = networks.get(to);
+    if (target != null && !cut.contains(from + ">" + to)) {
+      target.receive(from, body);
+    }
+  }
+}
--- a/library/src/test/java/org/lentilsail/platform/FakePlatform.java
+++ b/library/src/test/java/org/lentilsail/platform/FakePlatform.java
@@ -86,7 +86,7 @@
 
   /** Returns the number of watches that wait. */
   public int waitingWatches() {
-    return store.watches.size();
+    return (int) store.watches.stream().filter(watch -> !watch.answer().isDone()).count();
   }
 
   /** Returns the operations that this client carried out, as {@code vm operation generation}. */
