Add the acceptance of records

A reply of the platform can be lost after the write took effect. Pause, resume, drain and return amend records and repeat after a conflict.

--- /dev/null
+++ b/library/src/main/java/org/lentilsail/acceptance/OperatorCommands.java
@@ -0,0 +1,195 @@
+package org.lentilsail.acceptance;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.lentilsail.model.error.ErrorCode;
+import org.lentilsail.model.error.LentilsailException;
+import org.lentilsail.model.record.RecordDocument;
+import org.lentilsail.model.record.RecordKey;
+import org.lentilsail.model.record.RecordKind;
+
+/** Turns the operators' commands on waves and VMs into amendments of records. */
+public final class OperatorCommands {
+  /** Attempts when other operators amend the same record meanwhile. */
+  private static final int MAX_ATTEMPTS = 5;
+
+  /**
+   * Longest wait for the platform in a drain with force; the rest of the 3 s within which the VM
+   * must get no new work is for the notice.
+   */
+  private static final Duration FORCED_LIMIT = Duration.ofMillis(1_000);
+
+  /** Longest names of VMs that serve as names of holds. */
+  private static final int NAME_LENGTH = 40;
+
+  /** Reads and writes the records. */
+  private final RecordService records;
+
+  /** Spreads drains with force while the platform is down. */
+  private final DrainNotifier notifier;
+
+  /**
+   * Creates the commands.
+   *
+   * @param records reads and writes the records
+   * @param notifier spreads drains with force while the platform is down
+   */
+  public OperatorCommands(final RecordService records, final DrainNotifier notifier) {
+    this.records = records;
+    this.notifier = notifier;
+  }
+
+  /**
+   * Pauses or resumes a wave.
+   *
+   * @param wave name of the wave
+   * @param paused whether the wave shall be paused
+   * @param mark mark of the write
+   * @param limit longest time to wait
+   * @return the confirmation
+   */
+  public AcceptedWrite pauseWave(
+      final String wave, final boolean paused, final String mark, final Duration limit) {
+    final RecordKey key = new RecordKey(RecordKind.WAVE, wave);
+    return repeatAfterConflict(
+        () -> {
+          final VersionedRecord current = records.read(key, RecordKind.WAVE.newestVersion(), limit);
+          final ObjectNode spec = current.document().spec().deepCopy();
+          AcceptedWrite result = new AcceptedWrite(key, current.revision(), mark, false);
+          if (spec.path("paused").asBoolean() != paused) {
+            spec.put("paused", paused);
+            result = write(key, current.revision(), spec, mark, limit);
+          }
+          return result;
+        });
+  }
+
+  /**
+   * Drains a VM by a hold record. With force, a drain that the platform does not record in time is
+   * spread as a notice, and the exception of the platform tells so.
+   *
+   * @param vm name of the VM
+   * @param force whether the VM is drained even when the availability budget does not allow it
+   * @param reason why, for other operators to read
+   * @param mark mark of the write
+   * @param limit longest time to wait
+   * @return the confirmation
+   */
+  public AcceptedWrite drain(
+      final String vm,
+      final boolean force,
+      final String reason,
+      final String mark,
+      final Duration limit) {
+    try {
+      final Duration shorter = limit.compareTo(FORCED_LIMIT) < 0 ? limit : FORCED_LIMIT;
+      return repeatAfterConflict(() -> hold(vm, force, reason, mark, force ? shorter : limit));
+    } catch (final LentilsailException error) {
+      if (!force || !PlatformCalls.mayRepeat(error)) {
+        throw error;
+      }
+      notifier.announce(vm, reason);
+      throw new LentilsailException(
+          error.code(),
+          "the drain of "
+              + vm
+              + " is in force on all reachable daemons, but not recorded: "
+              + error.getMessage(),
+          "repeat the command within 10 minutes, because the drain ends then",
+          error);
+    }
+  }
+
+  /**
+   * Returns a drained VM by deleting its holds.
+   *
+   * @param vm name of the VM
+   * @param limit longest time to wait
+   * @return the confirmation of the last deletion
+   */
+  public AcceptedWrite returnVm(final String vm, final Duration limit) {
+    return repeatAfterConflict(
+        () -> {
+          final List<VersionedRecord> holds = holdsOf(vm, limit);
+          if (holds.isEmpty()) {
+            throw new LentilsailException(
+                ErrorCode.NOT_FOUND, "VM " + vm + " is not held", "list the holds to find the VM");
+          }
+          Optional<AcceptedWrite> last = Optional.empty();
+          for (final VersionedRecord hold : holds) {
+            last = Optional.of(records.delete(hold.document().key(), hold.revision(), limit));
+          }
+          return last.get();
+        });
+  }
+
+  private AcceptedWrite hold(
+      final String vm,
+      final boolean force,
+      final String reason,
+      final String mark,
+      final Duration limit) {
+    final Optional<VersionedRecord> existing = holdsOf(vm, limit).stream().findFirst();
+    final boolean enough =
+        existing.filter(it -> !force || it.document().spec().path("force").asBoolean()).isPresent();
+    final AcceptedWrite result;
+    if (enough) {
+      result =
+          new AcceptedWrite(
+              existing.get().document().key(), existing.get().revision(), mark, false);
+    } else {
+      final RecordKey key =
+          existing
+              .map(it -> it.document().key())
+              .orElseGet(() -> new RecordKey(RecordKind.HOLD, holdName(vm)));
+      final ObjectNode spec = JsonNodeFactory.instance.objectNode();
+      spec.put("vm", vm);
+      spec.put("force", force);
+      spec.put("reason", reason);
+      result = write(key, existing.map(VersionedRecord::revision).orElse(0L), spec, mark, limit);
+    }
+    return result;
+  }
+
+  private List<VersionedRecord> holdsOf(final String vm, final Duration limit) {
+    return records.list(limit).stream()
+        .filter(it -> it.document().key().kind() == RecordKind.HOLD)
+        .filter(it -> it.document().spec().path("vm").asText().equals(vm))
+        .toList();
+  }
+
+  private AcceptedWrite write(
+      final RecordKey key,
+      final long revision,
+      final ObjectNode spec,
+      final String mark,
+      final Duration limit) {
+    final RecordDocument document = new RecordDocument(key, key.kind().newestVersion(), spec);
+    return records.put(key, new RecordWrite(document.json(), revision, mark, false), limit);
+  }
+
+  private static AcceptedWrite repeatAfterConflict(final Supplier<AcceptedWrite> command) {
+    Optional<AcceptedWrite> result = Optional.empty();
+    for (int attempt = 1; result.isEmpty(); attempt++) {
+      try {
+        result = Optional.of(command.get());
+      } catch (final RecordConflictException error) {
+        if (attempt == MAX_ATTEMPTS) {
+          throw error;
+        }
+      }
+    }
+    return result.get();
+  }
+
+  private static String holdName(final String vm) {
+    final String cleaned = "vm-" + vm.toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9-]", "-");
+    final String cut = cleaned.substring(0, Math.min(cleaned.length(), NAME_LENGTH));
+    return RecordKey.validName(vm) ? vm : cut + "-" + Integer.toHexString(vm.hashCode());
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/acceptance/Pause.java
@@ -0,0 +1,28 @@
+package org.lentilsail.acceptance;
+
+import java.time.Duration;
+import org.lentilsail.model.error.ErrorCode;
+import org.lentilsail.model.error.LentilsailException;
+
+/** Waits between attempts; tests advance a paused clock instead. */
+public interface Pause {
+  /**
+   * Waits.
+   *
+   * @param duration how long
+   */
+  void pause(Duration duration);
+
+  /** Returns a pause that blocks the calling thread. */
+  static Pause blocking() {
+    return duration -> {
+      try {
+        Thread.sleep(duration.toMillis());
+      } catch (final InterruptedException error) {
+        Thread.currentThread().interrupt();
+        throw new LentilsailException(
+            ErrorCode.STOPPING, "the daemon is stopping", "ask another daemon", error);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/acceptance/RecordService.java
@@ -0,0 +1,186 @@
+package org.lentilsail.acceptance;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.lentilsail.model.error.ErrorCode;
+import org.lentilsail.model.error.LentilsailException;
+import org.lentilsail.model.record.RecordAmendment;
+import org.lentilsail.model.record.RecordKey;
+import org.lentilsail.model.record.RecordReferences;
+import org.lentilsail.model.record.Records;
+import org.lentilsail.model.record.RecordsBuilder;
+import org.lentilsail.model.record.StoredRecord;
+import org.lentilsail.model.time.TimeSource;
+import org.lentilsail.platform.Listing;
+import org.lentilsail.platform.PlatformClient;
+import org.lentilsail.platform.VersionedValue;
+
+/** Reads and writes records on the platform; blocks the caller and is thread-safe. */
+public final class RecordService {
+  /** Access to the key-value service. */
+  private final PlatformClient platform;
+
+  /** Writes conditionally. */
+  private final ConditionalWriter writer;
+
+  /** Clock of the deadlines. */
+  private final TimeSource time;
+
+  /** Waits between attempts. */
+  private final Pause pause;
+
+  /**
+   * Creates a service.
+   *
+   * @param platform access to the key-value service; not closed by this object
+   * @param time clock of the deadlines
+   * @param pause waits between attempts
+   */
+  public RecordService(final PlatformClient platform, final TimeSource time, final Pause pause) {
+    this.platform = platform;
+    this.writer = new ConditionalWriter(platform);
+    this.time = time;
+    this.pause = pause;
+  }
+
+  /**
+   * Creates or amends a record.
+   *
+   * @param key the record
+   * @param write the content
+   * @param limit longest time to wait
+   * @return the confirmation
+   */
+  public AcceptedWrite put(final RecordKey key, final RecordWrite write, final Duration limit) {
+    final Deadline deadline = new Deadline(time, pause, limit);
+    final Listing listing = listing(deadline);
+    final Optional<VersionedValue> current = find(listing, key);
+    final long revision = current.map(VersionedValue::revision).orElse(0L);
+    AcceptedWrite result = new AcceptedWrite(key, revision, write.mark(), true);
+    if (!ConditionalWriter.carries(current, key, write.mark())) {
+      checkRevision(key, write, current);
+      final Optional<StoredRecord> base =
+          current.flatMap(value -> ConditionalWriter.stored(key, value));
+      final StoredRecord merged =
+          RecordAmendment.apply(base, write.json(), records(listing), write.mark());
+      if (!merged.key().equals(key)) {
+        throw new LentilsailException(
+            ErrorCode.INVALID_INPUT,
+            "the record is " + merged.key() + ", but the path names " + key,
+            "write the same kind and name in both places");
+      }
+      final long stored =
+          writer.store(
+              merged, write.expectedRevision(), base.map(StoredRecord::mark).orElse(""), deadline);
+      result = new AcceptedWrite(key, stored, write.mark(), true);
+    }
+    return result;
+  }
+
+  /**
+   * Deletes a record that no other record refers to.
+   *
+   * @param key the record
+   * @param expected revision that the writer has seen
+   * @param limit longest time to wait
+   * @return the confirmation
+   */
+  public AcceptedWrite delete(final RecordKey key, final long expected, final Duration limit) {
+    final Deadline deadline = new Deadline(time, pause, limit);
+    final Listing listing = listing(deadline);
+    final VersionedValue current = find(listing, key).orElseThrow(() -> missing(key));
+    if (current.revision() != expected) {
+      throw ConditionalWriter.conflict(
+          key, expected, Optional.of(current), key.kind().newestVersion());
+    }
+    final List<RecordKey> referrers = RecordReferences.referrers(key, records(listing));
+    if (!referrers.isEmpty()) {
+      throw new LentilsailException(
+          ErrorCode.INVALID_INPUT,
+          key + " is used by " + referrers,
+          "delete or amend these records first");
+    }
+    final String baseMark =
+        ConditionalWriter.stored(key, current).map(StoredRecord::mark).orElse("");
+    return new AcceptedWrite(key, writer.delete(key, expected, baseMark, deadline), "", true);
+  }
+
+  /**
+   * Reads a record.
+   *
+   * @param key the record
+   * @param version schema version that the reader knows
+   * @param limit longest time to wait
+   * @return the record
+   */
+  public VersionedRecord read(final RecordKey key, final int version, final Duration limit) {
+    final Deadline deadline = new Deadline(time, pause, limit);
+    final VersionedValue value =
+        PlatformCalls.read(() -> platform.get(key.platformKey()), deadline)
+            .orElseThrow(() -> missing(key));
+    return new VersionedRecord(
+        value.revision(), StoredRecord.parse(key, value.value()).as(version));
+  }
+
+  /**
+   * Reads all records in their newest version; those that cannot be read are left out.
+   *
+   * @param limit longest time to wait
+   * @return the records in order of kind and name
+   */
+  public List<VersionedRecord> list(final Duration limit) {
+    return listing(new Deadline(time, pause, limit)).values().stream()
+        .sorted(Comparator.comparing(VersionedValue::key))
+        .flatMap(
+            value ->
+                RecordKey.parse(value.key())
+                    .flatMap(key -> ConditionalWriter.stored(key, value))
+                    .map(
+                        stored ->
+                            new VersionedRecord(
+                                value.revision(), stored.as(stored.key().kind().newestVersion())))
+                    .stream())
+        .toList();
+  }
+
+  private Listing listing(final Deadline deadline) {
+    return PlatformCalls.read(() -> platform.list(RecordKey.PREFIX), deadline);
+  }
+
+  private static void checkRevision(
+      final RecordKey key, final RecordWrite write, final Optional<VersionedValue> current) {
+    final long expected = write.expectedRevision();
+    if (current.map(VersionedValue::revision).orElse(0L) != expected) {
+      if (write.repeated() && !ConditionalWriter.certainlyNotWritten(current, key, "")) {
+        throw new OutcomeUnknownException(key, expected, write.mark());
+      }
+      throw ConditionalWriter.conflict(key, expected, current, version(key, write.json()));
+    }
+  }
+
+  private static int version(final RecordKey key, final JsonNode json) {
+    final int newest = key.kind().newestVersion();
+    final int written = json.path("schemaVersion").asInt(newest);
+    return written >= 1 && written <= newest ? written : newest;
+  }
+
+  private static Optional<VersionedValue> find(final Listing listing, final RecordKey key) {
+    return listing.values().stream()
+        .filter(value -> value.key().equals(key.platformKey()))
+        .findFirst();
+  }
+
+  private static Records records(final Listing listing) {
+    final RecordsBuilder builder = new RecordsBuilder();
+    listing.values().forEach(value -> builder.add(value.key(), value.value()));
+    return builder.build();
+  }
+
+  private static LentilsailException missing(final RecordKey key) {
+    return new LentilsailException(
+        ErrorCode.NOT_FOUND, key + " does not exist", "list the records to find the right name");
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/acceptance/package-info.java
@@ -0,0 +1,2 @@
+/** Acceptance of records: conditional writes whose outcome survives lost replies. */
+package org.lentilsail.acceptance;
