Add the operators' HTTP interface

Operators and the load balancer need one interface on the admin address. AdminServer serves records, commands on waves and VMs, fleet, explanations, state dump, metrics, liveness and readiness. Every failure is a typed JSON error.

--- /dev/null
+++ b/library/src/main/java/org/lentilsail/admin/AdminServer.java
@@ -0,0 +1,106 @@
+package org.lentilsail.admin;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import java.net.InetSocketAddress;
+import org.lentilsail.model.error.ErrorCode;
+import org.lentilsail.model.error.LentilsailException;
+import org.tinylog.Logger;
+import org.xnio.Options;
+
+/** Serves the operators' HTTP interface. */
+public final class AdminServer implements AutoCloseable {
+  /** Threads that handle commands; each may wait for the platform. */
+  private static final int WORKER_THREADS = 4;
+
+  /** Largest header in bytes. */
+  private static final int HEADER_LIMIT_BYTES = 16 * 1024;
+
+  /** Time in ms after which a connection that sends nothing is closed. */
+  private static final int IDLE_LIMIT_MILLIS = 10_000;
+
+  /** HTTP status for a path that exists with other methods. */
+  private static final int METHOD_NOT_ALLOWED = 405;
+
+  /** The HTTP server. */
+  private final Undertow server;
+
+  /**
+   * Starts the server.
+   *
+   * @param address where it listens; port 0 lets the operating system choose
+   * @param parts the parts that it shows
+   */
+  public AdminServer(final InetSocketAddress address, final AdminParts parts) {
+    server =
+        Undertow.builder()
+            .addHttpListener(address.getPort(), address.getHostString(), routes(parts))
+            .setIoThreads(1)
+            .setWorkerThreads(WORKER_THREADS)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, HEADER_LIMIT_BYTES)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_LIMIT_MILLIS)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, IDLE_LIMIT_MILLIS)
+            .setSocketOption(Options.READ_TIMEOUT, IDLE_LIMIT_MILLIS)
+            .build();
+    server.start();
+    Logger.info("admin: listening on {}", address());
+  }
+
+  /** Returns where the server listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+  }
+
+  private static HttpHandler routes(final AdminParts parts) {
+    final RecordRoutes records = new RecordRoutes(parts);
+    final ViewRoutes views = new ViewRoutes(parts);
+    final HealthRoutes health = new HealthRoutes(parts);
+    return new RoutingHandler(false)
+        .get("/v1/records", new JsonHandler(records::list))
+        .get("/v1/records/{kind}/{name}", new JsonHandler(records::read))
+        .put("/v1/records/{kind}/{name}", new JsonHandler(records::put))
+        .delete("/v1/records/{kind}/{name}", new JsonHandler(records::delete))
+        .post("/v1/waves/{wave}/pause", new JsonHandler(records::pauseWave))
+        .post("/v1/waves/{wave}/resume", new JsonHandler(records::resumeWave))
+        .post("/v1/vms/{vm}/drain", new JsonHandler(records::drain))
+        .post("/v1/vms/{vm}/return", new JsonHandler(records::returnVm))
+        .get("/v1/waves/{wave}", new JsonHandler(views::wave))
+        .get("/v1/fleet", new JsonHandler(views::fleet))
+        .get("/v1/explain/vm/{vm}", new JsonHandler(views::explainVm))
+        .get("/v1/explain/wave/{wave}", new JsonHandler(views::explainWave))
+        .get("/v1/state", new JsonHandler(views::state))
+        .get("/metrics", health::metrics)
+        .get("/live", health::live)
+        .get("/ready", health::ready)
+        .setFallbackHandler(AdminServer::refusePath)
+        .setInvalidMethodHandler(AdminServer::refuseMethod);
+  }
+
+  private static void refusePath(final HttpServerExchange exchange) {
+    JsonHandler.send(
+        exchange,
+        new LentilsailException(
+            ErrorCode.NOT_FOUND,
+            "there is no path " + exchange.getRequestPath(),
+            "use a path of the operators' interface, such as /v1/records"));
+  }
+
+  private static void refuseMethod(final HttpServerExchange exchange) {
+    JsonHandler.send(
+        exchange,
+        METHOD_NOT_ALLOWED,
+        ErrorBody.of(
+            new LentilsailException(
+                ErrorCode.INVALID_INPUT,
+                exchange.getRequestPath() + " does not accept " + exchange.getRequestMethod(),
+                "use another method")));
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/admin/ErrorBody.java
@@ -0,0 +1,29 @@
+package org.lentilsail.admin;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.lentilsail.acceptance.OutcomeUnknownException;
+import org.lentilsail.acceptance.RecordConflictException;
+import org.lentilsail.model.error.LentilsailException;
+
+/** Writes a typed error as JSON. */
+final class ErrorBody {
+  private ErrorBody() {}
+
+  /** Returns code, message and remedy, and what a writer needs to go on. */
+  static ObjectNode of(final LentilsailException error) {
+    final ObjectNode json = JsonNodeFactory.instance.objectNode();
+    json.put("code", error.code().text());
+    json.put("message", error.getMessage());
+    json.put("remedy", error.remedy());
+    if (error instanceof RecordConflictException conflict) {
+      json.put("revision", conflict.revision());
+      conflict.current().ifPresent(current -> json.set("current", current.json()));
+    }
+    if (error instanceof OutcomeUnknownException unknown) {
+      json.put("mark", unknown.mark());
+      json.put("expectedRevision", unknown.expectedRevision());
+    }
+    return json;
+  }
+}
--- a/library/src/test/java/org/lentilsail/acceptance/FakePlatform.java
+++ b/library/src/test/java/org/lentilsail/acceptance/FakePlatform.java
@@ -22,22 +22,22 @@
 import org.lentilsail.platform.WriteResult;
 
 /** Key-value service in memory whose next writes can be lost, delayed or overtaken. */
-final class FakePlatform implements PlatformClient {
+public final class FakePlatform implements PlatformClient {
   /** What happens to the next writes, in order; without an entry a write succeeds. */
-  final Deque<Fault> faults = new ArrayDeque<>();
+  public final Deque<Fault> faults = new ArrayDeque<>();
 
   /** Runs before the next write, as another operator would. */
-  final Deque<Runnable> overtaking = new ArrayDeque<>();
+  public final Deque<Runnable> overtaking = new ArrayDeque<>();
 
   /** Whether no call gets through. */
-  boolean down;
+  public boolean down;
 
   private final Map<String, VersionedValue> values = new TreeMap<>();
   private final List<Runnable> delayed = new ArrayList<>();
   private long revision;
 
   /** Faults of a write. */
-  enum Fault {
+  public enum Fault {
     /** The write takes effect and the reply is lost. */
     REPLY_LOST,
     /** The write does not arrive and the caller cannot know it. */
