Add the entry server with truthful outcomes and bounded retries

Cause: callers need one address, complete responses and outcomes that prove no more than the attempts do. Change: Undertow server with limits, typed refusals, detection of callers that leave and a graceful stop; execution over slots with retries by a pure rule; retry budget and back-off; least-connections dispatch as the baseline. Undertow ignores the close option of a Connection field with several options, so the server looks for it itself.

--- /dev/null
+++ b/library/src/main/java/org/lentilsail/entry/Attempt.java
@@ -0,0 +1,84 @@
+package org.lentilsail.entry;
+
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletionException;
+import org.lentilsail.dispatch.SlotResult;
+import org.lentilsail.http.HttpCallException;
+import org.lentilsail.http.HttpFailure;
+import org.lentilsail.http.HttpResponse;
+import org.lentilsail.model.error.ErrorCode;
+import org.lentilsail.model.error.LentilsailException;
+
+/**
+ * Result of one attempt on a worker.
+ *
+ * @param end what the attempt proves
+ * @param slotResult what the dispatcher learns
+ * @param error why there is no response, null with a response
+ */
+record Attempt(AttemptEnd end, SlotResult slotResult, Throwable error) {
+  /** Status with which a backend server proves that a request did not run. */
+  private static final int UNAVAILABLE = 503;
+
+  /** Lowest status of a failure. */
+  private static final int FIRST_FAILURE = 500;
+
+  /** Judges a complete response. */
+  static Attempt of(final HttpResponse response) {
+    final Attempt result;
+    if (response.status() == UNAVAILABLE
+        && response.field(Outcome.FIELD).filter(Outcome.NOT_RUN.text()::equals).isPresent()) {
+      result =
+          new Attempt(
+              AttemptEnd.PROVED_NOT_RUN,
+              SlotResult.REFUSED,
+              new LentilsailException(
+                  ErrorCode.NO_WORKER,
+                  "the backend servers refused the request because they drain",
+                  "repeat the request"));
+    } else {
+      final boolean failed = response.status() >= FIRST_FAILURE;
+      result = new Attempt(AttemptEnd.ANSWERED, failed ? SlotResult.FAILED : SlotResult.OK, null);
+    }
+    return result;
+  }
+
+  /** Judges a call without a complete response; an unexpected error proves nothing. */
+  static Attempt of(final Throwable thrown) {
+    final Throwable error = unwrap(thrown);
+    final Attempt result;
+    if (error instanceof HttpCallException failure) {
+      final AttemptEnd end = failure.written() ? AttemptEnd.LOST : AttemptEnd.NOT_SENT;
+      result = new Attempt(end, slotResult(failure.failure()), typed(failure));
+    } else if (error instanceof CancellationException) {
+      result = new Attempt(AttemptEnd.LOST, SlotResult.CANCELLED, error);
+    } else {
+      result = new Attempt(AttemptEnd.LOST, SlotResult.BROKEN, error);
+    }
+    return result;
+  }
+
+  static Throwable unwrap(final Throwable thrown) {
+    return thrown instanceof CompletionException && thrown.getCause() != null
+        ? thrown.getCause()
+        : thrown;
+  }
+
+  private static SlotResult slotResult(final HttpFailure failure) {
+    return switch (failure) {
+      case TIMEOUT -> SlotResult.TIMEOUT;
+      case CANCELLED -> SlotResult.CANCELLED;
+      case TOO_LARGE -> SlotResult.OK;
+      case CONNECT, BROKEN -> SlotResult.BROKEN;
+    };
+  }
+
+  private static LentilsailException typed(final HttpCallException failure) {
+    return failure.failure() == HttpFailure.TOO_LARGE
+        ? new LentilsailException(
+            ErrorCode.ANSWER_TOO_LARGE,
+            failure.getMessage(),
+            "ask the service for a smaller response")
+        : failure;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/entry/KeySource.java
@@ -0,0 +1,15 @@
+package org.lentilsail.entry;
+
+import java.util.List;
+
+/** Creates idempotency keys for callers. */
+@FunctionalInterface
+public interface KeySource {
+  /**
+   * Creates keys that the answering daemon owns.
+   *
+   * @param count number of keys
+   * @return the keys; empty when the daemon owns no range of keys
+   */
+  List<String> keys(int count);
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/entry/RequestExecution.java
@@ -0,0 +1,247 @@
+package org.lentilsail.entry;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.lentilsail.config.ConfigurationSnapshot;
+import org.lentilsail.dispatch.Slot;
+import org.lentilsail.dispatch.SlotDemand;
+import org.lentilsail.dispatch.SlotResult;
+import org.lentilsail.http.HttpCall;
+import org.lentilsail.http.HttpResponse;
+import org.lentilsail.model.error.ErrorCode;
+import org.lentilsail.model.error.LentilsailException;
+import org.lentilsail.model.fleet.VmEntry;
+import org.lentilsail.model.fleet.VmPhase;
+
+/** Follows one request through its attempts; the attempts come one after the other. */
+final class RequestExecution {
+  /** Most workers on which a request is tried; failures on 3 point at the request itself. */
+  private static final int MAX_ATTEMPTS = 3;
+
+  /** Most bytes of a response body. */
+  private static final int RESPONSE_LIMIT_BYTES = 8 * 1024 * 1024;
+
+  /** What the request needs from the daemon. */
+  private final RequestExecutor executor;
+
+  /** The request. */
+  private final EntryRequest request;
+
+  /** Completed with the response. */
+  private final CompletableFuture<EntryResponse> result = new CompletableFuture<>();
+
+  /** VMs that have failed the request. */
+  private final Set<String> failedVms = new HashSet<>();
+
+  /** What is being waited for; cancelled with the request. */
+  private volatile CompletableFuture<?> step = CompletableFuture.completedFuture(null);
+
+  /** Whether {@link #step} waits for a slot. */
+  private volatile boolean queued;
+
+  /** Attempts so far. */
+  private int attempts;
+
+  /** Whether an attempt may have run without a response. */
+  private boolean lost;
+
+  RequestExecution(final RequestExecutor executor, final EntryRequest request) {
+    this.executor = executor;
+    this.request = request;
+  }
+
+  CompletableFuture<EntryResponse> result() {
+    return result;
+  }
+
+  void start() {
+    executor.budget(request.service()).recordRequest();
+    final Runnable timer = executor.delays().after(remainingMillis() + 1, this::expire);
+    result.whenComplete(
+        (response, error) -> {
+          timer.run();
+          step.cancel(true);
+        });
+    acquire();
+  }
+
+  private void acquire() {
+    attempts++;
+    final SlotDemand demand =
+        new SlotDemand(
+            request.service(),
+            request.plainPath(),
+            request.team(),
+            request.urgent(),
+            request.expectedMillis(),
+            request.deadlineNanos(),
+            failedVms);
+    queued = true;
+    final CompletableFuture<Slot> slot = executor.slots().acquire(demand);
+    waitFor(slot);
+    slot.whenComplete(this::onSlot);
+  }
+
+  private void waitFor(final CompletableFuture<?> next) {
+    step = next;
+    if (result.isDone()) {
+      next.cancel(true);
+    }
+  }
+
+  /** Gives up the place in the queue at the deadline, should the source of slots be silent. */
+  private void expire() {
+    if (queued) {
+      step.cancel(true);
+    }
+  }
+
+  private void onSlot(final Slot slot, final Throwable error) {
+    queued = false;
+    if (error != null) {
+      refuse(AttemptEnd.NO_SLOT, refusal(Attempt.unwrap(error)));
+    } else if (result.isDone()) {
+      slot.release(SlotResult.CANCELLED, 0);
+    } else {
+      send(slot);
+    }
+  }
+
+  private static Throwable refusal(final Throwable error) {
+    return error instanceof LentilsailException
+        ? error
+        : new LentilsailException(
+            ErrorCode.OVERLOADED,
+            "no worker became free before the deadline",
+            "repeat the request later or allow it more time");
+  }
+
+  private void send(final Slot slot) {
+    executor.inFlight().begin(slot.vm());
+    final ConfigurationSnapshot snapshot = executor.configuration().current();
+    final VmEntry entry = snapshot.fleet().vms().get(slot.vm());
+    if (!isInUse(entry)) {
+      executor.inFlight().end(slot.vm(), false);
+      slot.release(SlotResult.REFUSED, 0);
+      ended(slot, new Attempt(AttemptEnd.NOT_SENT, SlotResult.REFUSED, outOfUse(slot)));
+      return;
+    }
+    final long startNanos = executor.time().nanos();
+    final CompletableFuture<HttpResponse> call = executor.caller().call(call(slot, snapshot));
+    waitFor(call);
+    call.whenComplete((response, error) -> onResponse(slot, startNanos, response, error));
+  }
+
+  private static boolean isInUse(final VmEntry entry) {
+    return entry != null
+        && (entry.phase() == VmPhase.IN_SERVICE || entry.phase() == VmPhase.VERIFYING);
+  }
+
+  private static LentilsailException outOfUse(final Slot slot) {
+    return new LentilsailException(
+        ErrorCode.NO_WORKER, "VM " + slot.vm() + " went out of service", "repeat the request");
+  }
+
+  private HttpCall call(final Slot slot, final ConfigurationSnapshot snapshot) {
+    final int colon = slot.address().lastIndexOf(':');
+    final InetSocketAddress target =
+        new InetSocketAddress(
+            slot.address().substring(0, colon),
+            Integer.parseInt(slot.address().substring(colon + 1)));
+    final long serviceMillis =
+        snapshot.records().services().containsKey(request.service())
+            ? snapshot.records().services().get(request.service()).timeoutMillis()
+            : Long.MAX_VALUE;
+    return new HttpCall(
+        target,
+        request.method(),
+        request.path(),
+        request.fields(),
+        request.body(),
+        Duration.ofMillis(Math.max(1, Math.min(serviceMillis, remainingMillis()))),
+        RESPONSE_LIMIT_BYTES);
+  }
+
+  private void onResponse(
+      final Slot slot, final long startNanos, final HttpResponse response, final Throwable error) {
+    final Attempt attempt = error == null ? Attempt.of(response) : Attempt.of(error);
+    executor.inFlight().end(slot.vm(), attempt.slotResult() == SlotResult.OK && error == null);
+    slot.release(
+        attempt.slotResult(), TimeUnit.NANOSECONDS.toMillis(executor.time().nanos() - startNanos));
+    if (attempt.end() == AttemptEnd.ANSWERED) {
+      result.complete(
+          new EntryResponse(
+              Outcome.RAN,
+              response.status(),
+              HopFields.endToEnd(response.fields()),
+              response.body()));
+    } else if (!result.isDone()) {
+      ended(slot, attempt);
+    }
+  }
+
+  private void ended(final Slot slot, final Attempt attempt) {
+    failedVms.add(slot.vm());
+    final long waitMillis =
+        attempt.end() == AttemptEnd.PROVED_NOT_RUN
+            ? 0
+            : executor.backoff().wait(attempts - 1, ThreadLocalRandom.current()).toMillis();
+    if (OutcomeRule.isRetrySafe(attempt.end(), request.isIdempotent())
+        && attempts < MAX_ATTEMPTS
+        && waitMillis < remainingMillis()
+        && isWithinBudget(attempt)) {
+      lost |= attempt.end() == AttemptEnd.LOST;
+      executor.metrics().recordRetry(request.service());
+      retryAfter(waitMillis);
+    } else {
+      refuse(attempt.end(), attempt.error());
+    }
+  }
+
+  /** A drain is no sign of overload, so a retry after its proof costs no budget. */
+  private boolean isWithinBudget(final Attempt attempt) {
+    return attempt.end() == AttemptEnd.PROVED_NOT_RUN
+        || executor.budget(request.service()).takeRetry();
+  }
+
+  private void retryAfter(final long waitMillis) {
+    if (waitMillis == 0) {
+      acquire();
+    } else {
+      executor
+          .delays()
+          .after(
+              waitMillis,
+              () -> {
+                if (!result.isDone()) {
+                  acquire();
+                }
+              });
+    }
+  }
+
+  private void refuse(final AttemptEnd end, final Throwable error) {
+    final Outcome outcome = OutcomeRule.outcome(end, lost);
+    final EntryResponse response;
+    if (end != AttemptEnd.LOST && outcome == Outcome.UNKNOWN) {
+      response =
+          Refusals.of(
+              ErrorCode.OUTCOME_UNKNOWN,
+              "an attempt broke off and no further one was possible: " + error.getMessage(),
+              "find out whether the request ran before you repeat it",
+              outcome);
+    } else {
+      response = Refusals.of(error, outcome);
+    }
+    result.complete(response);
+  }
+
+  private long remainingMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - executor.time().nanos());
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Limits of retries: how many there may be and how long each one waits. */
+package org.lentilsail.policy.retry;
--- /dev/null
+++ b/policy/src/test/java/org/lentilsail/policy/retry/RetryBudgetTest.java
@@ -0,0 +1,38 @@
+package org.lentilsail.policy.retry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against retries that multiply the load on failing workers. */
+class RetryBudgetTest {
+  /** Guards against more retries than a tenth of the requests plus a burst of 10. */
+  @Test
+  void allowsTenthOfRequestsPlusBurst() {
+    final RetryBudget budget = new RetryBudget();
+    int retries = 0;
+    for (int request = 0; request < 1_000; request++) {
+      budget.recordRequest();
+      while (budget.takeRetry()) {
+        retries++;
+      }
+    }
+    // The first request meets a full budget, so 999 requests earn credit.
+    assertThat(retries, is(10 + 999 / 10));
+  }
+
+  /** Guards against credit that a quiet time piles up beyond the burst. */
+  @Test
+  void quietTimeKeepsOnlyTheBurst() {
+    final RetryBudget budget = new RetryBudget();
+    for (int request = 0; request < 10_000; request++) {
+      budget.recordRequest();
+    }
+    int retries = 0;
+    while (budget.takeRetry()) {
+      retries++;
+    }
+    assertThat(retries, is(10));
+  }
+}
