--- a/library/src/main/java/org/lentilsail/acceptance/OperatorCommands.java
+++ b/library/src/main/java/org/lentilsail/acceptance/OperatorCommands.java
@@ -150,7 +150,11 @@
       final ObjectNode spec = JsonNodeFactory.instance.objectNode();
       spec.put("vm", vm);
       spec.put("force", force);
-      spec.put("reason", reason);
+      spec.put(
+          "reason",
+          reason.isEmpty()
+              ? existing.map(it -> it.document().spec().path("reason").asText()).orElse("")
+              : reason);
       result = write(key, existing.map(VersionedRecord::revision).orElse(0L), spec, mark, limit);
     }
     return result;
--- a/model/src/main/java/org/lentilsail/model/error/ErrorCode.java
+++ b/model/src/main/java/org/lentilsail/model/error/ErrorCode.java
@@ -44,6 +44,8 @@
   ANSWER_TOO_LARGE(502, 6),
   /** A peer sent a frame that is cut, too long or not MessagePack. */
   BAD_FRAME(400, 7),
+  /** No daemon answers the command line. */
+  DAEMON_UNREACHABLE(503, 5),
   /** A defect in lentilsail itself. */
   INTERNAL(500, 70);
 
