--- /dev/null
+++ b/library/src/main/java/org/lentilsail/control/ActionCarrier.java
@@ -0,0 +1,127 @@
+package org.lentilsail.control;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
+import org.lentilsail.model.fleet.FleetDocument;
+import org.lentilsail.model.fleet.VmEntry;
+import org.lentilsail.model.fleet.VmPhase;
+import org.lentilsail.platform.PlatformClient;
+import org.lentilsail.platform.VmOperation;
+import org.lentilsail.policy.control.ControlAction;
+import org.lentilsail.policy.control.OperateAction;
+import org.lentilsail.policy.control.ProbeAction;
+import org.tinylog.Logger;
+
+/** Carries out actions and counts the probes that VMs have answered. */
+final class ActionCarrier {
+  /** The platform. */
+  private final PlatformClient platform;
+
+  /** Sends the probes. */
+  private final VmProbe probe;
+
+  /** The control thread. */
+  private final Executor executor;
+
+  /** Answered probes by VM and verification. */
+  private final Map<String, Integer> answered = new HashMap<>();
+
+  /** Probes under way by VM and verification; a VM that verifies gets one request at a time. */
+  private final Set<String> underWay = new HashSet<>();
+
+  /**
+   * Creates a carrier.
+   *
+   * @param platform the platform
+   * @param probe sends the probes
+   * @param executor the control thread
+   */
+  ActionCarrier(final PlatformClient platform, final VmProbe probe, final Executor executor) {
+    this.platform = platform;
+    this.probe = probe;
+    this.executor = executor;
+  }
+
+  /**
+   * Carries out actions as long as control is held. A failed action is repeated by a later round.
+   *
+   * @param actions the actions
+   * @param document the document that has been written
+   * @param holds tells whether control is still held
+   */
+  void carryOut(
+      final List<ControlAction> actions,
+      final FleetDocument document,
+      final BooleanSupplier holds) {
+    for (final ControlAction action : actions) {
+      if (!holds.getAsBoolean()) {
+        break;
+      }
+      if (action instanceof OperateAction operate) {
+        operate(operate);
+      } else if (action instanceof ProbeAction send) {
+        send(send, key(document.vms().get(send.vm())));
+      }
+    }
+  }
+
+  private void operate(final OperateAction action) {
+    platform
+        .operate(
+            action.vm(), VmOperation.valueOf(action.operation().name()), action.bootGeneration())
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null || !done) {
+                Logger.info(
+                    "control: {} of VM {} at boot generation {} had no effect: {}",
+                    action.operation(),
+                    action.vm(),
+                    action.bootGeneration(),
+                    failure == null ? "the VM has another generation" : failure.getMessage());
+              }
+            });
+  }
+
+  private void send(final ProbeAction action, final String key) {
+    if (underWay.add(key)) {
+      probe
+          .probe(action.address(), action.path())
+          .whenCompleteAsync(
+              (ok, failure) -> {
+                underWay.remove(key);
+                if (failure == null && ok) {
+                  answered.merge(key, 1, Integer::sum);
+                }
+              },
+              executor);
+    }
+  }
+
+  /**
+   * Returns the answered probes of the VMs that verify, and forgets the others.
+   *
+   * @param document the fleet document
+   * @return the number of probes by VM
+   */
+  Map<String, Integer> answered(final FleetDocument document) {
+    final Map<String, Integer> result = new HashMap<>();
+    final Set<String> present = new HashSet<>();
+    for (final VmEntry vm : document.vms().values()) {
+      if (vm.phase() == VmPhase.VERIFYING) {
+        present.add(key(vm));
+        result.put(vm.vm(), answered.getOrDefault(key(vm), 0));
+      }
+    }
+    answered.keySet().retainAll(present);
+    return result;
+  }
+
+  private static String key(final VmEntry vm) {
+    return vm.vm() + "/" + vm.bootGeneration() + "/" + vm.sinceMillis();
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/control/ControlClaim.java
@@ -0,0 +1,106 @@
+package org.lentilsail.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lentilsail.model.fleet.FleetDocument;
+import org.lentilsail.platform.PlatformClient;
+import org.lentilsail.platform.VersionedValue;
+import org.lentilsail.platform.WriteResult;
+import org.lentilsail.policy.control.RoundMemory;
+
+/** Takes control: the holder's key under a lease, then the document with the next epoch. */
+final class ControlClaim {
+  /** The platform. */
+  private final PlatformClient platform;
+
+  /** Format of the fleet document. */
+  private final FleetFormat format;
+
+  /** Id of this daemon. */
+  private final String self;
+
+  /** Key of the holder. */
+  private final String holderKey;
+
+  /** Key of the fleet document. */
+  private final String fleetKey;
+
+  /**
+   * Creates a claim.
+   *
+   * @param platform the platform
+   * @param format format of the fleet document
+   * @param self id of this daemon
+   * @param region region that is controlled
+   */
+  ControlClaim(
+      final PlatformClient platform,
+      final FleetFormat format,
+      final String self,
+      final String region) {
+    this.platform = platform;
+    this.format = format;
+    this.self = self;
+    this.holderKey = "control/holder/" + region;
+    this.fleetKey = "control/fleet/" + region;
+  }
+
+  /**
+   * Returns the key of the fleet document.
+   *
+   * @return the key
+   */
+  String fleetKey() {
+    return fleetKey;
+  }
+
+  /**
+   * Tries to take control. After a lost reply the future fails, and the next try finds out by the
+   * lease in the holder's key whether the write took effect.
+   *
+   * @param lease id of this daemon's lease
+   * @return the term, empty when another daemon holds control
+   */
+  CompletableFuture<Optional<ControlTerm>> attempt(final String lease) {
+    final ObjectNode value = JsonNodeFactory.instance.objectNode();
+    value.put("holder", self).put("lease", lease);
+    return platform
+        .compareAndSet(holderKey, 0, value, Optional.of(lease))
+        .thenCompose(
+            claim ->
+                claim.written() || claim.current().filter(held -> owns(held, lease)).isPresent()
+                    ? takeOver(lease)
+                    : CompletableFuture.completedFuture(Optional.empty()));
+  }
+
+  private static boolean owns(final VersionedValue held, final String lease) {
+    return held.value().path("lease").asText().equals(lease);
+  }
+
+  private CompletableFuture<Optional<ControlTerm>> takeOver(final String lease) {
+    return platform
+        .get(fleetKey)
+        .thenCompose(
+            stored -> {
+              final FleetDocument old =
+                  stored.map(value -> format.read(value.value())).orElse(FleetDocument.empty());
+              final FleetDocument next =
+                  new FleetDocument(old.epoch() + 1, self, old.vms(), old.waves());
+              final long revision = stored.map(VersionedValue::revision).orElse(0L);
+              final JsonNode json = format.write(next);
+              return platform
+                  .compareAndSet(fleetKey, revision, json, Optional.empty())
+                  .thenApply(write -> term(lease, next, write));
+            });
+  }
+
+  private static Optional<ControlTerm> term(
+      final String lease, final FleetDocument document, final WriteResult write) {
+    return write.written()
+        ? Optional.of(new ControlTerm(lease, document, write.revision(), new RoundMemory()))
+        : Optional.empty();
+  }
+}
