--- a/library/src/test/java/org/lentilsail/peer/TcpPeerNetworkTest.java
+++ b/library/src/test/java/org/lentilsail/peer/TcpPeerNetworkTest.java
@@ -146,6 +146,7 @@
     final TcpPeerNetwork b = echo("b");
     awaitLive(b, "a");
     try (Socket socket = new Socket(a.address().getAddress(), a.address().getPort())) {
+      socket.setSoTimeout((int) LONG.toMillis());
       socket.getOutputStream().write(HexFormat.of().parseHex(hex.replace(" ", "")));
       if (cut) {
         socket.shutdownOutput();
@@ -194,7 +195,9 @@
   }
 
   private static ServerSocket listen() throws IOException {
-    return new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+    final ServerSocket result = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+    result.setSoTimeout((int) LONG.toMillis());
+    return result;
   }
 
   private static InetSocketAddress address(final ServerSocket socket) {
