--- a/library/src/main/java/org/lentilsail/drain/DrainNotices.java
+++ b/library/src/main/java/org/lentilsail/drain/DrainNotices.java
@@ -159,8 +159,7 @@
     new TreeMap<>(notice.remainingMillis())
         .forEach(
             (vm, millis) ->
-                untilNanos.merge(
-                    vm, now + Math.min(millis, longest) * NANOS_PER_MILLI, Math::max));
+                untilNanos.merge(vm, now + Math.min(millis, longest) * NANOS_PER_MILLI, Math::max));
     publish();
   }
 
--- a/library/src/test/java/org/lentilsail/drain/DrainNoticesTest.java
+++ b/library/src/test/java/org/lentilsail/drain/DrainNoticesTest.java
@@ -67,8 +67,7 @@
     final HoldSpec hold = new HoldSpec("vm-1", "vm-1", true, "smoke in the rack");
     final Records records =
         new Records(Map.of(), Map.of(), Map.of(), Map.of(), Map.of("vm-1", hold));
-    notices.configure(
-        new ConfigurationSnapshot(1, records, FleetDocument.empty(), 0, Map.of()));
+    notices.configure(new ConfigurationSnapshot(1, records, FleetDocument.empty(), 0, Map.of()));
     assertThat(notices.vms(), is(empty()));
   }
 
--- a/measure/src/main/java/org/lentilsail/measure/MeasureMain.java
+++ b/measure/src/main/java/org/lentilsail/measure/MeasureMain.java
@@ -9,7 +9,7 @@
   private static final int EXIT_USAGE = 2;
 
   /** The subcommands. */
-  private static final List<MeasureCommand> COMMANDS = List.of();
+  private static final List<MeasureCommand> COMMANDS = List.of(new DistributionCommand());
 
   private MeasureMain() {}
 
--- /dev/null
+++ b/measure/src/main/java/org/lentilsail/measure/MeasuredDaemon.java
@@ -0,0 +1,94 @@
+package org.lentilsail.measure;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.lentilsail.config.ConfigurationStore;
+import org.lentilsail.config.PeerSync;
+import org.lentilsail.config.PlatformHealth;
+import org.lentilsail.config.PlatformWatcher;
+import org.lentilsail.http.HttpCaller;
+import org.lentilsail.model.time.TimeSource;
+import org.lentilsail.peer.LinkFilter;
+import org.lentilsail.peer.PeerSettings;
+import org.lentilsail.peer.TcpPeerNetwork;
+import org.lentilsail.platform.HttpPlatformClient;
+
+/** The configuration part of one daemon over real sockets. */
+final class MeasuredDaemon implements AutoCloseable {
+  /** Metrics of the peer network. */
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+
+  /** The configuration. */
+  private final ConfigurationStore store = new ConfigurationStore("r1");
+
+  /** The control thread. */
+  private final ScheduledExecutorService control = Executors.newSingleThreadScheduledExecutor();
+
+  /** The peers. */
+  private final TcpPeerNetwork network;
+
+  /** Watches the platform. */
+  private final PlatformWatcher watcher;
+
+  MeasuredDaemon(
+      final String id,
+      final String zone,
+      final Map<String, InetSocketAddress> peers,
+      final HttpCaller http,
+      final InetSocketAddress platform)
+      throws IOException {
+    final TimeSource time = TimeSource.system();
+    final PlatformHealth health = new PlatformHealth(store);
+    final PeerSettings settings =
+        new PeerSettings(id, zone, "r1", new InetSocketAddress("127.0.0.1", 0), peers);
+    network = new TcpPeerNetwork(settings, health, time, registry, LinkFilter.PASS_ALL);
+    final PeerSync sync = new PeerSync(store, network, control, zone);
+    network.onHeartbeat(sync::heard);
+    watcher =
+        new PlatformWatcher(
+            new HttpPlatformClient(http, platform, id, HttpPlatformClient.DEFAULT_TIMEOUT),
+            store,
+            sync,
+            network,
+            health,
+            time,
+            control,
+            zone,
+            vms -> {});
+  }
+
+  void start() throws IOException {
+    network.start();
+    watcher.start();
+  }
+
+  InetSocketAddress address() {
+    return network.address();
+  }
+
+  ConfigurationStore store() {
+    return store;
+  }
+
+  long sentBytes() {
+    return (long)
+        registry.scrape().stream()
+            .filter(metric -> metric.getMetadata().getName().equals("lentilsail_peer_bytes"))
+            .map(CounterSnapshot.class::cast)
+            .flatMap(metric -> metric.getDataPoints().stream())
+            .filter(point -> "sent".equals(point.getLabels().get("direction")))
+            .mapToDouble(CounterSnapshot.CounterDataPointSnapshot::getValue)
+            .sum();
+  }
+
+  @Override
+  public void close() {
+    control.shutdownNow();
+    network.close();
+  }
+}
--- /dev/null
+++ b/measure/src/main/java/org/lentilsail/measure/SampleFleet.java
@@ -0,0 +1,92 @@
+package org.lentilsail.measure;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.UUID;
+import org.lentilsail.config.KeyTerm;
+import org.lentilsail.config.KeyTermCodec;
+import org.lentilsail.model.fleet.FleetCodec;
+import org.lentilsail.model.fleet.FleetDocument;
+import org.lentilsail.model.fleet.VmEntry;
+
+/**
+ * Platform values of a fleet of some size.
+ *
+ * @param name name of the size
+ * @param vms number of VMs
+ * @param pools number of pools, each with a service and a budget
+ */
+record SampleFleet(String name, int vms, int pools) {
+  /** Key of the fleet document. */
+  static final String FLEET_KEY = "control/fleet/r1";
+
+  /** Number of ranges of idempotency keys. */
+  private static final int RANGES = 16;
+
+  /** Marks of earlier writes that a stored record keeps. */
+  private static final int EARLIER_MARKS = 8;
+
+  /** Start of the wall clock times in ms. */
+  private static final long EPOCH_MILLIS = 1_780_000_000_000L;
+
+  Map<String, JsonNode> values() {
+    final Map<String, JsonNode> result = new LinkedHashMap<>();
+    for (int i = 0; i < pools; i++) {
+      result.put("config/pool/pool-" + i, pool(i, 0));
+      result.put(
+          "config/service/service-" + i,
+          record("service", "service-" + i, object().put("pool", "pool-" + i)));
+      final ObjectNode budget = object().put("service", "service-" + i);
+      budget.putObject("maxUnavailable").put("count", 1);
+      result.put("config/budget/budget-" + i, record("budget", "budget-" + i, budget));
+    }
+    for (int i = 0; i < RANGES; i++) {
+      final KeyTerm term = new KeyTerm(i, "entry-1", 1, EPOCH_MILLIS, EPOCH_MILLIS);
+      result.put(KeyTermCodec.PREFIX + i, KeyTermCodec.write(term));
+    }
+    result.put(FLEET_KEY, fleet(0));
+    return result;
+  }
+
+  JsonNode pool(final int number, final int minimum) {
+    return record("pool", "pool-" + number, object().put("minimumVms", minimum));
+  }
+
+  JsonNode fleet(final long epoch) {
+    final Map<String, VmEntry> entries = new HashMap<>();
+    for (int i = 0; i < vms; i++) {
+      final String vm = "vm-" + i;
+      entries.put(
+          vm,
+          VmEntry.inService(
+              vm,
+              "10.0." + i / 256 + "." + i % 256 + ":8080",
+              "zone-" + i % 3,
+              "rack-" + i / 4,
+              "pool-" + i % pools,
+              1,
+              EPOCH_MILLIS + epoch));
+    }
+    return FleetCodec.write(new FleetDocument(epoch, "entry-1", entries, Map.of()));
+  }
+
+  private static ObjectNode record(final String kind, final String name, final ObjectNode spec) {
+    final ObjectNode result = object().put("kind", kind).put("schemaVersion", 2).put("name", name);
+    result.set("spec", spec);
+    result.put("mark", UUID.randomUUID().toString());
+    final ArrayNode marks = result.putArray("earlierMarks");
+    for (int i = 0; i < EARLIER_MARKS; i++) {
+      marks.add(UUID.randomUUID().toString());
+    }
+    return result;
+  }
+
+  private static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+}
--- a/system/src/main/java/org/lentilsail/system/BackgroundLoad.java
+++ b/system/src/main/java/org/lentilsail/system/BackgroundLoad.java
@@ -101,8 +101,7 @@
   }
 
   private void count(final String id, final HttpResponse response) {
-    final String outcome =
-        response == null ? "" : response.field("Lentilsail-Outcome").orElse("");
+    final String outcome = response == null ? "" : response.field("Lentilsail-Outcome").orElse("");
     final AtomicInteger counter =
         switch (outcome) {
           case "ran" -> isOwn(id, response) ? ran : wrong;
--- a/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
+++ b/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
@@ -59,9 +59,7 @@
 
   private static String key(final LocalFleet fleet, final int port) {
     final HttpResponse response =
-        fleet
-            .web()
-            .send(port, "POST", "/lentilsail/keys?count=1", List.of(), "", REQUEST_TIMEOUT);
+        fleet.web().send(port, "POST", "/lentilsail/keys?count=1", List.of(), "", REQUEST_TIMEOUT);
     final String body = new String(response.body(), StandardCharsets.UTF_8);
     final java.util.regex.Matcher matcher =
         java.util.regex.Pattern.compile("[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}").matcher(body);
@@ -74,8 +72,7 @@
   private boolean maintain(final LocalFleet fleet, final long start) throws Exception {
     final BackgroundLoad load = new BackgroundLoad(fleet, SampleRecords.SERVICE, RATE);
     load.start();
-    final CliResult applied =
-        fleet.cli("apply", SampleRecords.file(fleet, "wave.json").toString());
+    final CliResult applied = fleet.cli("apply", SampleRecords.file(fleet, "wave.json").toString());
     say(start, "wave applied: exit code " + applied.exitCode());
     boolean result = applied.exitCode() == 0;
     try {
