Wire the parts into the entry daemon and run the quickstart

Cause: the parts were built apart; no request had gone through processes. Change: daemon with one control thread, one dispatcher thread and I/O threads; graceful stop with exit code 0; quickstart; ports below the range of outgoing connections, because a daemon once could not bind a port that another connection had taken meanwhile.

--- /dev/null
+++ b/daemon/src/main/java/org/lentilsail/daemon/DispatchParts.java
@@ -0,0 +1,72 @@
+package org.lentilsail.daemon;
+
+import java.util.Random;
+import org.lentilsail.config.ConfigurationSnapshot;
+import org.lentilsail.dispatch.DaemonPlace;
+import org.lentilsail.dispatch.DispatchReport;
+import org.lentilsail.dispatch.DispatchService;
+import org.lentilsail.entry.InFlightTable;
+import org.lentilsail.model.fleet.DaemonReport;
+import org.lentilsail.model.settings.EntrySettings;
+
+/** Hands out slots, counts requests in flight, and makes this daemon's report from both. */
+final class DispatchParts {
+  /** The parts on which this one rests. */
+  private final SharedParts shared;
+
+  /** Hands out slots. */
+  private final DispatchService dispatch;
+
+  /** Counts requests in flight by VM. */
+  private final InFlightTable inFlight = new InFlightTable();
+
+  /**
+   * Creates the parts; call it before the network starts.
+   *
+   * @param shared the parts on which this one rests
+   */
+  DispatchParts(final SharedParts shared) {
+    this.shared = shared;
+    final EntrySettings settings = shared.settings();
+    dispatch =
+        new DispatchService(
+            shared.network(),
+            shared.configuration(),
+            new DaemonPlace(settings.availabilityZone(), settings.region()),
+            shared.time(),
+            new Random(),
+            shared.threads().dispatch());
+    shared.configuration().onChange(snapshot -> inFlight.apply(snapshot.fleet()));
+  }
+
+  DispatchService dispatch() {
+    return dispatch;
+  }
+
+  InFlightTable inFlight() {
+    return inFlight;
+  }
+
+  void start() {
+    shared.threads().dispatch().tick(dispatch);
+  }
+
+  /**
+   * Returns the present report. The fleet document is read before the counts, as {@link
+   * InFlightTable} requires.
+   *
+   * @return the report
+   */
+  DaemonReport report() {
+    final ConfigurationSnapshot snapshot = shared.configuration().current();
+    final DispatchReport dispatched = dispatch.report();
+    return new DaemonReport(
+        shared.settings().id(),
+        shared.settings().availabilityZone(),
+        snapshot.fleetRevision(),
+        dispatched.loads(),
+        inFlight.inFlight(snapshot.fleet()),
+        inFlight.responses(),
+        dispatched.unhealthyVms());
+  }
+}
--- a/daemon/src/main/java/org/lentilsail/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/lentilsail/daemon/EntryDaemon.java
@@ -58,6 +58,14 @@
 
   private static void run(final EntrySettings settings) throws Exception {
     final Daemon daemon = Daemon.start(settings);
-    Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "lentilsail-stop"));
+    final Thread stop =
+        new Thread(
+            () -> {
+              daemon.stop();
+              // Without this the runtime would report 143 for a planned stop by SIGTERM.
+              Runtime.getRuntime().halt(0);
+            },
+            "stop");
+    Runtime.getRuntime().addShutdownHook(stop);
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/lentilsail/daemon/IoThreadDelays.java
@@ -0,0 +1,23 @@
+package org.lentilsail.daemon;
+
+import java.util.concurrent.TimeUnit;
+import org.lentilsail.entry.Delays;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioWorker;
+
+/** Runs delayed tasks on the threads that carry the traffic. */
+final class IoThreadDelays implements Delays {
+  /** Threads that carry the traffic. */
+  private final XnioWorker worker;
+
+  IoThreadDelays(final XnioWorker worker) {
+    this.worker = worker;
+  }
+
+  @Override
+  public Runnable after(final long millis, final Runnable task) {
+    final XnioExecutor.Key key =
+        worker.getIoThread().executeAfter(task, millis, TimeUnit.MILLISECONDS);
+    return key::remove;
+  }
+}
--- a/daemon/src/main/java/org/lentilsail/daemon/SharedParts.java
+++ b/daemon/src/main/java/org/lentilsail/daemon/SharedParts.java
@@ -2,34 +2,27 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.List;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 import org.lentilsail.config.ConfigurationStore;
-import org.lentilsail.config.PeerSync;
 import org.lentilsail.config.PlatformHealth;
-import org.lentilsail.config.PlatformWatcher;
 import org.lentilsail.http.HttpCaller;
 import org.lentilsail.http.UndertowHttpCaller;
 import org.lentilsail.model.settings.EntrySettings;
 import org.lentilsail.model.time.TimeSource;
 import org.lentilsail.peer.LinkFilter;
+import org.lentilsail.peer.PeerSettings;
 import org.lentilsail.peer.TcpPeerNetwork;
 import org.lentilsail.platform.HttpPlatformClient;
 import org.lentilsail.platform.PlatformClient;
-import org.lentilsail.platform.VmReport;
 
 /** The parts of a daemon on which all others rest: time, network, platform and configuration. */
 final class SharedParts implements AutoCloseable {
   /** Longest time of a call of the platform. */
   private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(1);
 
-  /** Time in ms between two looks at the drain notices. */
-  private static final int NOTICE_TICK_MILLIS = 250;
-
-  /** States in which the platform's list reports a VM that gets no new work. */
-  private static final Set<String> ENDING = Set.of("leaving", "gone");
-
   /** Settings of the daemon. */
   private final EntrySettings settings;
 
@@ -57,12 +50,6 @@
   /** The other daemons. */
   private final TcpPeerNetwork network;
 
-  /** Watches the platform when it is this daemon's turn. */
-  private final PlatformWatcher watcher;
-
-  /** Receives the platform's list of VMs. */
-  private volatile java.util.function.Consumer<List<VmReport>> vmListener = list -> {};
-
   SharedParts(final EntrySettings settings) throws IOException {
     this.settings = settings;
     threads = new DaemonThreads(settings.ioThreads());
@@ -74,20 +61,61 @@
     health = new PlatformHealth(configuration);
     network =
         new TcpPeerNetwork(peerSettings(settings), health, time, metrics, LinkFilter.PASS_ALL);
-    final PeerSync sync =
-        new PeerSync(configuration, network, threads.control(), settings.availabilityZone());
-    network.onHeartbeat((peer, heartbeat) -> sync.heard(peer, heartbeat.snapshotRevision()));
-    watcher =
-        new PlatformWatcher(
-            platform,
-            configuration,
-            sync,
-            network,
-            health,
-            time,
-            threads.control(),
-            settings.availabilityZone(),
-            list -> vmListener.accept(list));
     ProcessMetrics.register(metrics);
   }
+
+  EntrySettings settings() {
+    return settings;
+  }
+
+  TimeSource time() {
+    return time;
+  }
+
+  PrometheusRegistry metrics() {
+    return metrics;
+  }
+
+  DaemonThreads threads() {
+    return threads;
+  }
+
+  HttpCaller caller() {
+    return caller;
+  }
+
+  PlatformClient platform() {
+    return platform;
+  }
+
+  ConfigurationStore configuration() {
+    return configuration;
+  }
+
+  PlatformHealth health() {
+    return health;
+  }
+
+  TcpPeerNetwork network() {
+    return network;
+  }
+
+  @Override
+  public void close() {
+    network.close();
+    platform.close();
+    caller.close();
+    threads.close();
+  }
+
+  private static PeerSettings peerSettings(final EntrySettings settings) {
+    final Map<String, InetSocketAddress> peers = new HashMap<>();
+    settings.peers().forEach(peer -> peers.put(peer.id(), peer.address().socketAddress()));
+    return new PeerSettings(
+        settings.id(),
+        settings.availabilityZone(),
+        settings.region(),
+        settings.peerAddress().socketAddress(),
+        peers);
+  }
 }
--- a/system/src/main/java/org/lentilsail/system/BackgroundLoad.java
+++ b/system/src/main/java/org/lentilsail/system/BackgroundLoad.java
@@ -25,8 +25,8 @@
   /** The deployment. */
   private final LocalFleet fleet;
 
-  /** Service that gets the requests. */
-  private final String service;
+  /** Services that get the requests in turn. */
+  private final List<String> services;
 
   /** Requests per second. */
   private final int perSecond;
@@ -52,9 +52,9 @@
   /** Sends the requests. */
   private Thread sender;
 
-  BackgroundLoad(final LocalFleet fleet, final String service, final int perSecond) {
+  BackgroundLoad(final LocalFleet fleet, final List<String> services, final int perSecond) {
     this.fleet = fleet;
-    this.service = service;
+    this.services = List.copyOf(services);
     this.perSecond = perSecond;
   }
 
@@ -79,7 +79,7 @@
       fleet
           .web()
           .caller()
-          .call(call(ports.get(i % ports.size()), id))
+          .call(call(ports.get(i % ports.size()), i, id))
           .whenComplete(
               (response, error) -> {
                 count(id, response);
@@ -89,11 +89,11 @@
     }
   }
 
-  private HttpCall call(final int port, final String id) {
+  private HttpCall call(final int port, final int number, final String id) {
     return new HttpCall(
         new InetSocketAddress("127.0.0.1", port),
         "PUT",
-        "/" + service + "/tee-times/" + id,
+        "/" + services.get(number % services.size()) + "/tee-times/" + id,
         List.of(new HttpField("Standin-Id", id), new HttpField("Standin-Run-Millis", "20")),
         id.getBytes(StandardCharsets.UTF_8),
         TIMEOUT,
--- a/system/src/main/java/org/lentilsail/system/ChildProcess.java
+++ b/system/src/main/java/org/lentilsail/system/ChildProcess.java
@@ -99,6 +99,11 @@
     signal("CONT");
   }
 
+  /** Asks the process to stop, as an operator or the platform would. */
+  void terminate() {
+    process.destroy();
+  }
+
   /**
    * Asks the process to stop and waits for its end.
    *
@@ -106,7 +111,7 @@
    * @throws InterruptedException when the waiting thread is interrupted
    */
   int stop() throws InterruptedException {
-    process.destroy();
+    terminate();
     return await(STOP_SECONDS);
   }
 
--- a/system/src/main/java/org/lentilsail/system/FleetAddresses.java
+++ b/system/src/main/java/org/lentilsail/system/FleetAddresses.java
@@ -1,6 +1,5 @@
 package org.lentilsail.system;
 
-import java.io.IOException;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -38,9 +37,8 @@
    *
    * @param plan the deployment
    * @return the ports
-   * @throws IOException when no port can be bound
    */
-  static FleetAddresses find(final DeploymentPlan plan) throws IOException {
+  static FleetAddresses find(final DeploymentPlan plan) {
     final int count = 1 + PORTS_PER_ENTRY * plan.entries().size() + plan.vms().size();
     final List<Integer> free = FreePorts.find(count);
     final Iterator<Integer> ports = free.iterator();
--- a/system/src/main/java/org/lentilsail/system/FreePorts.java
+++ b/system/src/main/java/org/lentilsail/system/FreePorts.java
@@ -3,35 +3,52 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Finds free ports on the loopback address. */
 final class FreePorts {
+  /**
+   * Lowest port that is tried. All ports lie below the range that Linux gives to outgoing
+   * connections, which could take a port between the search and the start of the process.
+   */
+  private static final int LOWEST = 10_000;
+
+  /** Port above the highest one that is tried. */
+  private static final int LIMIT = 32_000;
+
+  /** Most ports that are tried. */
+  private static final int MAX_TRIES = 10_000;
+
   private FreePorts() {}
 
   /**
-   * Finds ports that are free at the moment. All are bound before any is released, so that they
-   * differ.
+   * Finds ports that are free at the moment.
    *
    * @param count how many
-   * @return the ports
-   * @throws IOException when no port can be bound
+   * @return the ports, all different
    */
-  static List<Integer> find(final int count) throws IOException {
-    final List<ServerSocket> sockets = new ArrayList<>();
-    final List<Integer> result = new ArrayList<>();
-    try {
-      for (int i = 0; i < count; i++) {
-        final ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        sockets.add(socket);
-        result.add(socket.getLocalPort());
-      }
-    } finally {
-      for (final ServerSocket socket : sockets) {
-        socket.close();
+  static List<Integer> find(final int count) {
+    final Set<Integer> result = new LinkedHashSet<>();
+    for (int i = 0; i < MAX_TRIES && result.size() < count; i++) {
+      final int port = ThreadLocalRandom.current().nextInt(LOWEST, LIMIT);
+      if (isFree(port)) {
+        result.add(port);
       }
     }
-    return result;
+    if (result.size() < count) {
+      throw new IllegalStateException("found only " + result.size() + " of " + count + " ports");
+    }
+    return List.copyOf(result);
+  }
+
+  private static boolean isFree(final int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return socket.isBound();
+    } catch (final IOException taken) {
+      return false;
+    }
   }
 }
--- a/system/src/main/java/org/lentilsail/system/LocalFleet.java
+++ b/system/src/main/java/org/lentilsail/system/LocalFleet.java
@@ -82,6 +82,7 @@
         fleet.awaitLive(entry.id());
       }
     } catch (final Exception error) {
+      fleet.printOutputs();
       fleet.close();
       throw error;
     }
@@ -196,6 +197,18 @@
     return Files.writeString(directory.resolve(name), text);
   }
 
+  /** Prints what the processes have printed, to find out why something went wrong. */
+  void printOutputs() throws IOException {
+    for (final Map.Entry<String, ChildProcess> entry : entries.entrySet()) {
+      System.out.println("--- " + entry.getKey());
+      System.out.println(entry.getValue().output());
+    }
+    for (final ChildProcess standin : standins) {
+      System.out.println("--- stand-in");
+      System.out.println(standin.output());
+    }
+  }
+
   @Override
   public void close() throws IOException {
     entries.values().forEach(ChildProcess::close);
--- a/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
+++ b/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
@@ -1,10 +1,8 @@
 package org.lentilsail.system;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import org.lentilsail.http.HttpField;
 import org.lentilsail.http.HttpResponse;
 
 /** Shows the whole path: starts a small deployment, serves requests and runs a maintenance wave. */
@@ -49,7 +47,7 @@
                 port,
                 "POST",
                 "/booking/tee-times",
-                List.of(new HttpField("Idempotency-Key", key(fleet, port))),
+                List.of(),
                 "four players at 08:10",
                 REQUEST_TIMEOUT);
     final String outcome = response.field("Lentilsail-Outcome").orElse("none");
@@ -57,20 +55,8 @@
     return response.status() == 200 && outcome.equals("ran");
   }
 
-  private static String key(final LocalFleet fleet, final int port) {
-    final HttpResponse response =
-        fleet.web().send(port, "POST", "/lentilsail/keys?count=1", List.of(), "", REQUEST_TIMEOUT);
-    final String body = new String(response.body(), StandardCharsets.UTF_8);
-    final java.util.regex.Matcher matcher =
-        java.util.regex.Pattern.compile("[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}").matcher(body);
-    if (!matcher.find()) {
-      throw new IllegalStateException("no key in the response: " + body);
-    }
-    return matcher.group();
-  }
-
   private boolean maintain(final LocalFleet fleet, final long start) throws Exception {
-    final BackgroundLoad load = new BackgroundLoad(fleet, SampleRecords.SERVICE, RATE);
+    final BackgroundLoad load = new BackgroundLoad(fleet, SampleRecords.SERVICES, RATE);
     load.start();
     final CliResult applied = fleet.cli("apply", SampleRecords.file(fleet, "wave.json").toString());
     say(start, "wave applied: exit code " + applied.exitCode());
@@ -97,6 +83,7 @@
 
   private boolean stopAll(final LocalFleet fleet, final long start) throws InterruptedException {
     boolean result = true;
+    fleet.plan().entries().forEach(entry -> fleet.entry(entry.id()).terminate());
     for (final EntryPlan entry : fleet.plan().entries()) {
       final int exitCode = fleet.entry(entry.id()).stop();
       result = result && exitCode == 0;
--- a/system/src/main/java/org/lentilsail/system/SampleRecords.java
+++ b/system/src/main/java/org/lentilsail/system/SampleRecords.java
@@ -5,12 +5,16 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 
 /** The records of the small deployment, as an operator would apply them. */
 final class SampleRecords {
   /** A service of the records. */
   static final String SERVICE = "booking";
 
+  /** All services of the records. */
+  static final List<String> SERVICES = List.of("booking", "fees", "clubdesk");
+
   /** Longest time until a configuration is in force on all daemons. */
   static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(2);
 
