Test the failover of the command line

A daemon can die after it carried out a command and before it answers. A golden session sends commands through a server that does so: the record is written once and the repeat on the next daemon is answered as accepted.

--- a/cli/src/test/java/org/lentilsail/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/lentilsail/cli/CommandLineTest.java
@@ -45,6 +45,7 @@
   private AdminServer server;
   private String live;
   private String dead;
+  private String broken = "BROKEN";
 
   @BeforeEach
   void start() throws IOException {
@@ -131,6 +132,20 @@
     Approvals.verify(transcript.toString());
   }
 
+  /** Guards against a write that is lost or done twice when a daemon dies before it answers. */
+  @Test
+  void repeatsOnTheNextDaemon() throws IOException {
+    run("apply fleet.json");
+    try (BrokenDaemon daemon = new BrokenDaemon(server.address())) {
+      broken = daemon.address();
+      run("apply service.json --server BROKEN,LIVE");
+      run("drain vm-1 --server BROKEN,LIVE");
+      run("apply service.json --revision 4 --server BROKEN");
+      run("get service/tee --server BROKEN,DEAD,LIVE --output json");
+    }
+    Approvals.verify(transcript.toString());
+  }
+
   /** Guards the help texts and the answers to wrong command lines. */
   @Test
   void helps() {
@@ -154,6 +169,7 @@
     final String[] args =
         line.replace("LIVE", live)
             .replace("DEAD", dead)
+            .replace("BROKEN", broken)
             .replaceAll("(\\w+\\.json)", FILES + "$1")
             .split(" ");
     final int exit = commandLine.run(args);
@@ -165,7 +181,8 @@
             out.toString(StandardCharsets.UTF_8)
                 .replace("\r\n", "\n")
                 .replace(live, "LIVE")
-                .replace(dead, "DEAD"))
+                .replace(dead, "DEAD")
+                .replace(broken, "BROKEN"))
         .append("exit ")
         .append(exit)
         .append("\n\n");
--- a/library/src/main/java/org/lentilsail/admin/AdminServer.java
+++ b/library/src/main/java/org/lentilsail/admin/AdminServer.java
@@ -13,8 +13,11 @@
 
 /** Serves the operators' HTTP interface. */
 public final class AdminServer implements AutoCloseable {
-  /** Threads that handle commands; each may wait for the platform. */
-  private static final int WORKER_THREADS = 4;
+  /**
+   * Threads that handle commands. Each may wait for the platform; a drain with force must still get
+   * one at once during an outage.
+   */
+  private static final int WORKER_THREADS = 16;
 
   /** Largest header in bytes. */
   private static final int HEADER_LIMIT_BYTES = 16 * 1024;
