Run keyed requests at most once by terms in key time

Cause: a request that is not idempotent must run at most once across daemons. A key later than a term that is about to run out is answered with unknown, because the next owner may have run it.

--- /dev/null
+++ b/library/src/main/java/org/lentilsail/idempotency/KeyedAnswer.java
@@ -0,0 +1,28 @@
+package org.lentilsail.idempotency;
+
+import java.util.List;
+import org.lentilsail.entry.EntryResponse;
+import org.lentilsail.entry.Outcome;
+import org.lentilsail.http.HttpField;
+import org.lentilsail.peer.PeerMessage;
+
+/**
+ * Carries the owner's response back.
+ *
+ * @param outcome what became of the request
+ * @param status status code
+ * @param fields header fields
+ * @param body complete body
+ */
+public record KeyedAnswer(Outcome outcome, int status, List<HttpField> fields, byte[] body)
+    implements PeerMessage {
+
+  static KeyedAnswer of(final EntryResponse response) {
+    return new KeyedAnswer(
+        response.outcome(), response.status(), response.fields(), response.body());
+  }
+
+  EntryResponse toResponse() {
+    return new EntryResponse(outcome, status, fields, body);
+  }
+}
--- /dev/null
+++ b/library/src/test/java/org/lentilsail/idempotency/KeyTableTest.java
@@ -0,0 +1,96 @@
+package org.lentilsail.idempotency;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.lentilsail.entry.EntryResponse;
+import org.lentilsail.entry.Outcome;
+
+/** Guards against wrong codes and against memory that grows without bound. */
+class KeyTableTest {
+  private static final long NOW = 1_800_000_000_000L;
+  private static final long MEMORY_MILLIS = 1_000_000;
+
+  private final KeyTable table = new KeyTable(MEMORY_MILLIS, 100);
+
+  /** Guards against a code or an outcome that does not fit the time of the key. */
+  @ParameterizedTest
+  @CsvSource({
+    "-3000000, 0, key-owner-unreachable, UNKNOWN",
+    "-1500000, 0, key-too-old, UNKNOWN",
+    "2001, 0, key-from-future, NOT_RUN",
+    "4000000, 0, key-from-future, NOT_RUN",
+    "4000000, 3599000, key-owner-unreachable, UNKNOWN"
+  })
+  void refusesByKeyTime(
+      final long keyOffset, final long clockOffset, final String code, final Outcome outcome) {
+    grantAll();
+    table.forget(NOW);
+    final EntryResponse refusal =
+        table.admit(key(keyOffset), "f", NOW + clockOffset).response().join();
+    assertThat(new String(refusal.body(), StandardCharsets.UTF_8), containsString(code));
+    assertThat(refusal.outcome(), is(outcome));
+  }
+
+  /** Guards against repeats that run again, get another response, or miss the reuse of a key. */
+  @Test
+  void repeatsShareOneRun() {
+    grantAll();
+    final IdempotencyKey key = key(0);
+    assertThat(table.admit(key, "f", NOW).run(), is(true));
+    final KeyDecision repeat = table.admit(key, "f", NOW);
+    assertThat(repeat.run(), is(false));
+    assertThat(repeat.response().isDone(), is(false));
+    final EntryResponse response = response(Outcome.RAN, 10);
+    table.finish(key, response);
+    assertThat(repeat.response().join(), is(response));
+    assertThat(table.admit(key, "f", NOW).response().join(), is(response));
+    assertThat(table.admit(key, "g", NOW).response().join().status(), is(422));
+  }
+
+  /** Guards against a key that stays blocked although its request did not run. */
+  @Test
+  void notRunFreesTheKey() {
+    grantAll();
+    final IdempotencyKey key = key(0);
+    table.admit(key, "f", NOW);
+    table.finish(key, response(Outcome.NOT_RUN, 0));
+    assertThat(table.admit(key, "f", NOW).run(), is(true));
+  }
+
+  /** Guards against responses kept beyond the limit, and keys forgotten with them. */
+  @Test
+  void dropsOldestResponsesButNoKeys() {
+    grantAll();
+    final IdempotencyKey first = key(0);
+    final IdempotencyKey second = key(1);
+    table.admit(first, "f", NOW);
+    table.finish(first, response(Outcome.RAN, 60));
+    table.admit(second, "f", NOW);
+    table.finish(second, response(Outcome.RAN, 60));
+    assertThat(table.admit(first, "f", NOW).response().join().status(), is(409));
+    assertThat(table.admit(first, "f", NOW).response().join().outcome(), is(Outcome.RAN));
+    assertThat(table.admit(second, "f", NOW).response().join().status(), is(200));
+  }
+
+  private void grantAll() {
+    for (int range = 0; range < IdempotencyKey.RANGES; range++) {
+      table.grant(range, NOW - 2_000_000, NOW + 3_600_000);
+    }
+  }
+
+  private static IdempotencyKey key(final long offset) {
+    return IdempotencyKey.create(NOW + offset, new Random(offset));
+  }
+
+  private static EntryResponse response(final Outcome outcome, final int bytes) {
+    return new EntryResponse(outcome, 200, List.of(), new byte[bytes]);
+  }
+}
