Add the load tool that judges outcomes by the journals

Cause: scenarios need callers and a judge of at most once and of outcomes. Change: subcommand load with an open-loop rate, several targets, repeats of keys through other targets, percentiles, and a pure judge. Conclusion: usable once a daemon serves callers.

--- a/standin/src/main/java/org/lentilsail/standin/StandinMain.java
+++ b/standin/src/main/java/org/lentilsail/standin/StandinMain.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.lentilsail.standin.backend.BackendCommand;
+import org.lentilsail.standin.load.LoadCommand;
 
 /** Stand-ins and the load tool: runs the subcommand that the first argument names. */
 public final class StandinMain {
@@ -10,7 +11,8 @@
   private static final int EXIT_USAGE = 2;
 
   /** The subcommands. */
-  private static final List<StandinCommand> COMMANDS = List.of(new BackendCommand());
+  private static final List<StandinCommand> COMMANDS =
+      List.of(new BackendCommand(), new LoadCommand());
 
   private StandinMain() {}
 
--- /dev/null
+++ b/standin/src/main/java/org/lentilsail/standin/load/Load.java
@@ -0,0 +1,163 @@
+package org.lentilsail.standin.load;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.lentilsail.idempotency.IdempotencyKey;
+
+/** Sends requests at a fixed rate, no matter how slowly they are answered. */
+final class Load {
+  /** Nanoseconds in a second. */
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+  /** Parts of a percentage. */
+  private static final int PERCENT = 100;
+
+  /** Significant digits of the latencies. */
+  private static final int DIGITS = 3;
+
+  /** What to do. */
+  private final LoadSettings settings;
+
+  /** Chooses kinds of request. */
+  private final Random random;
+
+  /** Sends the requests. */
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(2))
+          .build();
+
+  /** What came back. */
+  private final Queue<Try> tries = new ConcurrentLinkedQueue<>();
+
+  /** Time in ns from the planned start of a request to its response. */
+  private final Histogram latencies = new ConcurrentHistogram(DIGITS);
+
+  /** Requests that are under way. */
+  private final List<CompletableFuture<Void>> running = new ArrayList<>();
+
+  /** Names the requests of this run, so that several runs can share backend servers. */
+  private final String run = UUID.randomUUID().toString();
+
+  /** Target of the next request. */
+  private int nextTarget;
+
+  Load(final LoadSettings settings, final long seed) {
+    this.settings = settings;
+    this.random = new Random(seed);
+  }
+
+  List<Try> tries() {
+    return List.copyOf(tries);
+  }
+
+  Histogram latencies() {
+    return latencies;
+  }
+
+  void run() {
+    final long start = System.nanoTime();
+    for (int number = 0; number < settings.requests(); number++) {
+      final long planned = start + number * NANOS_PER_SECOND / settings.ratePerSecond();
+      sleepUntil(planned);
+      sendOne(run + "-" + number, planned);
+    }
+    CompletableFuture.allOf(running.toArray(CompletableFuture[]::new)).join();
+  }
+
+  private static void sleepUntil(final long nanos) {
+    while (nanos - System.nanoTime() > 0) {
+      LockSupport.parkNanos(nanos - System.nanoTime());
+    }
+  }
+
+  private void sendOne(final String id, final long planned) {
+    final boolean keyed = random.nextInt(PERCENT) < settings.keyedPercent();
+    final String key =
+        keyed ? IdempotencyKey.create(System.currentTimeMillis(), random).uuid().toString() : "";
+    send(id, key, planned);
+    if (keyed && random.nextInt(PERCENT) < settings.repeatPercent()) {
+      send(id, key, planned);
+    }
+  }
+
+  private void send(final String id, final String key, final long planned) {
+    final InetSocketAddress target = settings.targets().get(nextTarget);
+    nextTarget = (nextTarget + 1) % settings.targets().size();
+    final byte[] body = key.isEmpty() ? new byte[0] : body(id);
+    final HttpRequest.Builder request =
+        HttpRequest.newBuilder(
+                URI.create(
+                    "http://"
+                        + target.getHostString()
+                        + ":"
+                        + target.getPort()
+                        + "/"
+                        + settings.service()
+                        + "/load"))
+            .timeout(Duration.ofMillis(settings.timeoutMillis()))
+            .header("Standin-Id", id)
+            .header("Standin-Run-Millis", Long.toString(settings.runMillis()));
+    if (key.isEmpty()) {
+      request.GET();
+    } else {
+      request.header("Idempotency-Key", key).POST(HttpRequest.BodyPublishers.ofByteArray(body));
+    }
+    running.add(
+        client
+            .sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray())
+            .handle(
+                (response, error) -> {
+                  latencies.recordValue(Math.max(0, System.nanoTime() - planned));
+                  tries.add(
+                      response == null
+                          ? new Try(id, key, "none", 0, false)
+                          : judged(id, key, body, response));
+                  return null;
+                }));
+  }
+
+  private static Try judged(
+      final String id, final String key, final byte[] body, final HttpResponse<byte[]> response) {
+    final boolean intact =
+        response.headers().firstValue("Standin-Id").orElse("").equals(id)
+            && Arrays.equals(body, response.body());
+    return new Try(
+        id,
+        key,
+        response.headers().firstValue("Lentilsail-Outcome").orElse("none"),
+        response.statusCode(),
+        intact);
+  }
+
+  private byte[] body(final String id) {
+    final byte[] text = id.getBytes(StandardCharsets.US_ASCII);
+    final byte[] result = new byte[Math.max(text.length, settings.bodyBytes())];
+    for (int i = 0; i < result.length; i++) {
+      result[i] = text[i % text.length];
+    }
+    return result;
+  }
+
+  static double millis(final long nanos) {
+    return nanos / (double) TimeUnit.MILLISECONDS.toNanos(1);
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/lentilsail/standin/load/JudgeTest.java
@@ -0,0 +1,43 @@
+package org.lentilsail.standin.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.lentilsail.standin.backend.JournalEntry;
+import org.lentilsail.standin.backend.RunState;
+
+/** Guards against a judge that overlooks an untrue outcome. */
+class JudgeTest {
+  /** Guards against a fault that is missed, and a true outcome that is called a fault. */
+  @ParameterizedTest
+  @CsvSource({
+    "ran, 200, true, 1, 0",
+    "ran, 500, false, 1, 0",
+    "ran, 200, true, 0, 1",
+    "ran, 200, false, 1, 1",
+    "not-run, 503, false, 0, 0",
+    "not-run, 503, false, 1, 1",
+    "unknown, 504, false, 0, 0",
+    "unknown, 504, false, 1, 0",
+    "unknown, 504, false, 2, 1",
+    "none, 0, false, 3, 1"
+  })
+  void findsContradictions(
+      final String outcome,
+      final int status,
+      final boolean intact,
+      final int runs,
+      final int faults) {
+    final JournalEntry run = new JournalEntry(0, "key", "id", 1, RunState.FINISHED);
+    assertThat(
+        Judge.faults(
+                List.of(new Try("id", "key", outcome, status, intact)),
+                Collections.nCopies(runs, run))
+            .size(),
+        is(faults));
+  }
+}
