Bound the time of the key table tests

Cause: a fault that admits a key made a test wait for ever for its response. Change: a time limit on the test class.

--- a/library/src/test/java/org/lentilsail/idempotency/KeyTableTest.java
+++ b/library/src/test/java/org/lentilsail/idempotency/KeyTableTest.java
@@ -8,12 +8,14 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.lentilsail.entry.EntryResponse;
 import org.lentilsail.entry.Outcome;
 
 /** Guards against wrong codes and against memory that grows without bound. */
+@Timeout(20)
 class KeyTableTest {
   private static final long NOW = 1_800_000_000_000L;
   private static final long MEMORY_MILLIS = 1_000_000;
