--- a/daemon/src/main/java/org/lentilsail/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/lentilsail/daemon/TrafficParts.java
@@ -1,18 +1,26 @@
 package org.lentilsail.daemon;
 
 import java.io.IOException;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.lentilsail.admin.ReadinessCheck;
 import org.lentilsail.entry.EntryMetrics;
 import org.lentilsail.entry.EntryServer;
 import org.lentilsail.entry.RequestExecutor;
+import org.lentilsail.idempotency.KeyTable;
+import org.lentilsail.idempotency.KeyedRunner;
 
 /** Takes requests of callers and runs them on workers. */
 final class TrafficParts {
+  /** Most bytes of responses that are kept for repeats of keyed requests. */
+  private static final long KEPT_RESPONSE_BYTES = 16L * 1024 * 1024;
+
   /** The parts on which this one rests. */
   private final SharedParts shared;
 
+  /** Terms of the idempotency keys that this daemon owns. */
+  private final KeyParts keys;
+
   /** The HTTP server for callers. */
   private final EntryServer server;
 
@@ -35,30 +43,40 @@
             metrics,
             new IoThreadDelays(shared.threads().traffic()),
             shared.time());
+    final long memoryMillis = TimeUnit.MINUTES.toMillis(shared.settings().keyMemoryMinutes());
+    final KeyTable table = new KeyTable(memoryMillis, KEPT_RESPONSE_BYTES);
+    keys = new KeyParts(shared, table);
+    final KeyedRunner keyed =
+        new KeyedRunner(
+            executor, table, shared.configuration(), shared.network(), shared.time());
     server =
         new EntryServer(
             shared.threads().traffic(),
             shared.settings().callerAddress().socketAddress(),
             shared.configuration(),
-            executor,
-            count -> List.of(),
+            keyed,
+            keyed,
             metrics,
             shared.time());
   }
 
-  void start() {}
+  void start() {
+    keys.start();
+  }
 
   ReadinessCheck serving() {
     return new ServingCheck(server::isReady);
   }
 
   /**
-   * Ends the service without cutting off a request.
+   * Ends the service without cutting off a request, and gives up the key terms afterwards.
    *
-   * @return completes when no request is in flight
+   * @return completes when no request is in flight and the terms are given up
    */
   CompletableFuture<Void> stop() {
-    return server.stopGracefully(shared.settings().drainGraceMillis());
+    return server
+        .stopGracefully(shared.settings().drainGraceMillis())
+        .thenCompose(ended -> keys.stop());
   }
 
   void close() {
--- a/library/src/main/java/org/lentilsail/http/CallInProgress.java
+++ b/library/src/main/java/org/lentilsail/http/CallInProgress.java
@@ -29,8 +29,11 @@
   /** The connection in use, null before there is one. */
   private final AtomicReference<ClientConnection> connection = new AtomicReference<>();
 
-  /** Whether any byte of the request may have been written. */
-  private volatile boolean written;
+  /** Whether any byte of the request may have been written; guarded by this. */
+  private boolean written;
+
+  /** Whether the call has ended without a response; guarded by this. */
+  private boolean failed;
 
   CallInProgress(final HttpCall call, final ConnectionPool pool) {
     this.call = call;
@@ -38,6 +41,7 @@
     response.whenComplete(
         (result, failure) -> {
           if (failure != null) {
+            end();
             closeConnection();
           }
         });
@@ -73,17 +77,31 @@
         .getIoThread()
         .execute(
             () -> {
-              if (response.isDone()) {
+              if (beginWriting()) {
+                target.sendRequest(ClientRequests.of(call), exchangeCallback());
+              } else {
                 closeConnection();
-                return;
               }
-              written = true;
-              target.sendRequest(ClientRequests.of(call), exchangeCallback());
             });
   }
 
   void fail(final HttpFailure failure, final String message) {
-    response.completeExceptionally(new HttpCallException(failure, written, message));
+    response.completeExceptionally(new HttpCallException(failure, end(), message));
+  }
+
+  /**
+   * Begins to write unless the call has ended. A time-out runs on another thread; without this step
+   * it could report that nothing was sent just before the request is sent.
+   */
+  private synchronized boolean beginWriting() {
+    written = !failed;
+    return written;
+  }
+
+  /** Ends the call, and tells whether any byte of the request may have been written. */
+  private synchronized boolean end() {
+    failed = true;
+    return written;
   }
 
   private ClientCallback<ClientExchange> exchangeCallback() {
--- a/library/src/main/java/org/lentilsail/http/ClientRequests.java
+++ b/library/src/main/java/org/lentilsail/http/ClientRequests.java
@@ -2,8 +2,10 @@
 
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.Set;
 
@@ -44,7 +46,10 @@
   }
 
   static boolean isReusable(final ClientResponse response) {
-    final String connection = response.getResponseHeaders().getFirst(Headers.CONNECTION);
-    return connection == null || !connection.equalsIgnoreCase("close");
+    final HeaderValues connection = response.getResponseHeaders().get(Headers.CONNECTION);
+    return connection == null
+        || connection.stream()
+            .flatMap(value -> Arrays.stream(value.split(",")))
+            .noneMatch(option -> option.trim().equalsIgnoreCase("close"));
   }
 }
--- a/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
+++ b/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
@@ -6,7 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -70,6 +72,18 @@
     }
   }
 
+  @Test
+  void neverUsesConnectionThatTheServerCloses() throws Exception {
+    try (RawServer server =
+        new RawServer(
+            "HTTP/1.1 200 OK\r\nConnection: x-hop, Close\r\nContent-Length: 2\r\n\r\nok",
+            false)) {
+      caller.call(get(server.address(), 2_000)).get();
+      caller.call(get(server.address(), 2_000)).get();
+      assertThat(server.connections(), is(2));
+    }
+  }
+
   @Test
   void neverUsesConnectionAfterTimeout() throws Exception {
     try (RawServer server =
@@ -92,9 +106,10 @@
 
   @Test
   void provesThatNothingWasSentWithoutConnection() throws Exception {
+    // A server that accepts while it closes would answer with a reset instead of a refusal.
     final InetSocketAddress address;
-    try (RawServer server = new RawServer("", true)) {
-      address = server.address();
+    try (ServerSocket bound = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = new InetSocketAddress("127.0.0.1", bound.getLocalPort());
     }
     final HttpCallException error = failureOf(get(address, 2_000));
     assertThat(error.failure(), is(HttpFailure.CONNECT));
--- a/standin/src/main/java/org/lentilsail/standin/StandinMain.java
+++ b/standin/src/main/java/org/lentilsail/standin/StandinMain.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.lentilsail.standin.backend.BackendCommand;
+import org.lentilsail.standin.load.LoadCommand;
 import org.lentilsail.standin.platform.PlatformCommand;
 
 /** Stand-ins and the load tool: runs the subcommand that the first argument names. */
@@ -12,7 +13,7 @@
 
   /** The subcommands. */
   private static final List<StandinCommand> COMMANDS =
-      List.of(new PlatformCommand(), new BackendCommand());
+      List.of(new PlatformCommand(), new BackendCommand(), new LoadCommand());
 
   private StandinMain() {}
 
--- a/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
+++ b/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
@@ -1,8 +1,14 @@
 package org.lentilsail.system;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.lentilsail.http.HttpField;
 import org.lentilsail.http.HttpResponse;
 
 /** Shows the whole path: starts a small deployment, serves requests and runs a maintenance wave. */
@@ -16,6 +22,10 @@
   /** Time-out of a single request. */
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
 
+  /** Form of an idempotency key. */
+  private static final Pattern UUID_FORM =
+      Pattern.compile("[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}");
+
   /** Name of the wave. */
   private static final String WAVE = "monthly";
 
@@ -38,7 +48,8 @@
     return right ? 0 : 1;
   }
 
-  private boolean serveOnce(final LocalFleet fleet, final long start) {
+  private boolean serveOnce(final LocalFleet fleet, final long start)
+      throws InterruptedException {
     final int port = fleet.addresses().callers().get("e1");
     final HttpResponse response =
         fleet
@@ -47,7 +58,7 @@
                 port,
                 "POST",
                 "/booking/tee-times",
-                List.of(),
+                List.of(new HttpField("Idempotency-Key", key(fleet, port))),
                 "four players at 08:10",
                 REQUEST_TIMEOUT);
     final String outcome = response.field("Lentilsail-Outcome").orElse("none");
@@ -55,6 +66,28 @@
     return response.status() == 200 && outcome.equals("ran");
   }
 
+  /** Asks for a key until the daemon owns a range of keys, which it does soon after its start. */
+  private static String key(final LocalFleet fleet, final int port) throws InterruptedException {
+    final AtomicReference<String> key = new AtomicReference<>();
+    Await.until(
+        "an idempotency key from the daemon on port " + port,
+        Duration.ofSeconds(20),
+        () -> {
+          final HttpResponse response =
+              fleet
+                  .web()
+                  .send(port, "POST", "/lentilsail/keys?count=1", List.of(), "", REQUEST_TIMEOUT);
+          final Matcher matcher =
+              UUID_FORM.matcher(new String(response.body(), StandardCharsets.UTF_8));
+          final boolean found = matcher.find();
+          if (found) {
+            key.set(matcher.group());
+          }
+          return found;
+        });
+    return key.get();
+  }
+
   private boolean maintain(final LocalFleet fleet, final long start) throws Exception {
     final BackgroundLoad load = new BackgroundLoad(fleet, SampleRecords.SERVICES, RATE);
     load.start();
@@ -94,6 +127,6 @@
 
   private static void say(final long start, final String text) {
     final double seconds = Duration.ofNanos(System.nanoTime() - start).toMillis() / 1_000.0;
-    System.out.printf(java.util.Locale.ROOT, "%6.1f s  %s%n", seconds, text);
+    System.out.printf(Locale.ROOT, "%6.1f s  %s%n", seconds, text);
   }
 }
