Make the bound of the change log a tighter test

Cause: the test passed when tombstones were kept for ever, because it made too few changes to see it. Change: three times as many changes as the log holds. Result: the test fails without the removal of tombstones and passes with it.

--- a/library/src/test/java/org/lentilsail/config/ConfigurationValuesTest.java
+++ b/library/src/test/java/org/lentilsail/config/ConfigurationValuesTest.java
@@ -58,13 +58,16 @@
 
   @Test
   void logIsBoundedAndFullBatchTakesItsPlace() {
-    for (int i = 1; i <= ConfigurationValues.LOG_SIZE + 10; i++) {
+    final int total = 3 * ConfigurationValues.LOG_SIZE;
+    for (int i = 1; i <= total; i++) {
       final Change change = i % 2 == 0 ? deleted("config/" + (i - 1), i) : set("config/" + i, i);
       values.apply(batch(i - 1, i, change));
     }
-    assertThat(values.since(9).full(), is(true));
-    assertThat(values.since(10).full(), is(false));
-    assertThat(values.since(10).changes().size(), is(ConfigurationValues.LOG_SIZE));
+    assertThat(values.since(total - ConfigurationValues.LOG_SIZE - 1).full(), is(true));
+    assertThat(values.since(total - ConfigurationValues.LOG_SIZE).full(), is(false));
+    assertThat(
+        values.since(total - ConfigurationValues.LOG_SIZE).changes().size(),
+        is(ConfigurationValues.LOG_SIZE));
     assertThat(values.last().size(), is(lessThanOrEqualTo(ConfigurationValues.LOG_SIZE)));
   }
 
