--- a/daemon/src/main/java/org/lentilsail/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/lentilsail/daemon/TrafficParts.java
@@ -47,8 +47,7 @@
     final KeyTable table = new KeyTable(memoryMillis, KEPT_RESPONSE_BYTES);
     keys = new KeyParts(shared, table);
     final KeyedRunner keyed =
-        new KeyedRunner(
-            executor, table, shared.configuration(), shared.network(), shared.time());
+        new KeyedRunner(executor, table, shared.configuration(), shared.network(), shared.time());
     server =
         new EntryServer(
             shared.threads().traffic(),
--- a/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
+++ b/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
@@ -76,8 +76,7 @@
   void neverUsesConnectionThatTheServerCloses() throws Exception {
     try (RawServer server =
         new RawServer(
-            "HTTP/1.1 200 OK\r\nConnection: x-hop, Close\r\nContent-Length: 2\r\n\r\nok",
-            false)) {
+            "HTTP/1.1 200 OK\r\nConnection: x-hop, Close\r\nContent-Length: 2\r\n\r\nok", false)) {
       caller.call(get(server.address(), 2_000)).get();
       caller.call(get(server.address(), 2_000)).get();
       assertThat(server.connections(), is(2));
--- a/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
+++ b/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
@@ -48,8 +48,7 @@
     return right ? 0 : 1;
   }
 
-  private boolean serveOnce(final LocalFleet fleet, final long start)
-      throws InterruptedException {
+  private boolean serveOnce(final LocalFleet fleet, final long start) throws InterruptedException {
     final int port = fleet.addresses().callers().get("e1");
     final HttpResponse response =
         fleet
