--- a/measure/src/main/java/org/lentilsail/measure/MeasureCommand.java
+++ b/measure/src/main/java/org/lentilsail/measure/MeasureCommand.java
@@ -1,7 +1,7 @@
 package org.lentilsail.measure;
 
 /** One subcommand of the program. */
-interface MeasureCommand {
+public interface MeasureCommand {
   /**
    * Returns the name on the command line.
    *
--- a/measure/src/main/java/org/lentilsail/measure/MeasureMain.java
+++ b/measure/src/main/java/org/lentilsail/measure/MeasureMain.java
@@ -2,6 +2,9 @@
 
 import java.util.Arrays;
 import java.util.List;
+import org.lentilsail.measure.fleet.CapacityCommand;
+import org.lentilsail.measure.fleet.RoundCostCommand;
+import org.lentilsail.measure.fleet.WavesCommand;
 
 /** Measurements: runs the subcommand that the first argument names. */
 public final class MeasureMain {
@@ -9,7 +12,8 @@
   private static final int EXIT_USAGE = 2;
 
   /** The subcommands. */
-  private static final List<MeasureCommand> COMMANDS = List.of();
+  private static final List<MeasureCommand> COMMANDS =
+      List.of(new CapacityCommand(), new WavesCommand(), new RoundCostCommand());
 
   private MeasureMain() {}
 
--- /dev/null
+++ b/measure/src/main/java/org/lentilsail/measure/fleet/Arguments.java
@@ -0,0 +1,21 @@
+package org.lentilsail.measure.fleet;
+
+import joptsimple.OptionParser;
+
+/** Reads the flags of the subcommands. */
+final class Arguments {
+  private Arguments() {}
+
+  static String text(final String[] args, final String flag, final String missing) {
+    final OptionParser parser = new OptionParser();
+    parser.allowsUnrecognizedOptions();
+    final String name = flag.substring(2);
+    parser.accepts(name).withRequiredArg();
+    final Object value = parser.parse(args).valueOf(name);
+    return value == null ? missing : value.toString();
+  }
+
+  static long number(final String[] args, final String flag, final long missing) {
+    return Long.parseLong(text(args, flag, String.valueOf(missing)));
+  }
+}
--- /dev/null
+++ b/measure/src/main/java/org/lentilsail/measure/fleet/WavesCommand.java
@@ -0,0 +1,58 @@
+package org.lentilsail.measure.fleet;
+
+import java.util.Random;
+import org.lentilsail.measure.MeasureCommand;
+import org.lentilsail.model.fleet.WaveProgress;
+
+/** Measures the roll-out time of a wave over all pools against the bound of the budgets. */
+public final class WavesCommand implements MeasureCommand {
+  /** Longest modelled time in ms. */
+  private static final long LIMIT_MILLIS = 7_200_000;
+
+  @Override
+  public String name() {
+    return "waves";
+  }
+
+  @Override
+  public int run(final String[] args) {
+    final Deployment deployment = Deployment.named(Arguments.text(args, "--deployment", "paseos"));
+    final long seed = Arguments.number(args, "--seed", 1);
+    final int seeds = (int) Arguments.number(args, "--seeds", 5);
+    final Samples samples = new Samples();
+    for (long next = seed; next < seed + seeds; next++) {
+      measure(deployment, next, samples);
+    }
+    samples.print("waves " + deployment.name() + ", " + seeds + " seeds from " + seed);
+    return 0;
+  }
+
+  private static void measure(final Deployment deployment, final long seed, final Samples samples) {
+    final FleetModel model =
+        new FleetModel(deployment.records(true), deployment.vms(new Random(seed)));
+    double bound = 0;
+    double oneByOne = 0;
+    for (int pool = 0; pool < deployment.pools().length; pool++) {
+      final String name = "p" + pool;
+      final double work =
+          model.vms.values().stream()
+              .filter(vm -> vm.pool.equals(name))
+              .mapToLong(vm -> vm.workMillis + ModelVm.REBOOT_MILLIS)
+              .sum();
+      bound = Math.max(bound, work / Deployment.BUDGET);
+      oneByOne += work;
+    }
+    long finished = 0;
+    while (finished == 0 && model.now() < LIMIT_MILLIS) {
+      model.tick();
+      final WaveProgress wave = model.document.waves().get("w");
+      finished = wave == null ? 0 : wave.finishedMillis();
+    }
+    samples.add("roll-out s, product", model.now() / 1_000.0);
+    samples.add("roll-out s, bound of the budgets", bound / 1_000);
+    samples.add("roll-out s, one VM at a time", oneByOne / 1_000);
+    samples.add("product / bound", model.now() / bound);
+    samples.add("budgets broken", model.broken);
+    samples.add("reboots that cut off work", model.cutOffWork());
+  }
+}
