--- a/measure/src/main/java/org/lentilsail/measure/MeasureMain.java
+++ b/measure/src/main/java/org/lentilsail/measure/MeasureMain.java
@@ -4,6 +4,9 @@
 import java.util.List;
 import org.lentilsail.measure.waiting.DispatchCostCommand;
 import org.lentilsail.measure.waiting.WaitingCommand;
+import org.lentilsail.measure.fleet.CapacityCommand;
+import org.lentilsail.measure.fleet.RoundCostCommand;
+import org.lentilsail.measure.fleet.WavesCommand;
 
 /** Measurements: runs the subcommand that the first argument names. */
 public final class MeasureMain {
@@ -11,11 +14,15 @@
   private static final int EXIT_USAGE = 2;
 
   /** The subcommands. */
+  private static final List<MeasureCommand> COMMANDS =
   private static final List<MeasureCommand> COMMANDS =
       List.of(
           new DistributionCommand(),
           new WaitingCommand(),
-          new DispatchCostCommand());
+          new DispatchCostCommand(),
+          new CapacityCommand(),
+          new WavesCommand(),
+          new RoundCostCommand());
 
   private MeasureMain() {}
 
