--- a/measure/src/main/java/org/lentilsail/measure/MeasureMain.java
+++ b/measure/src/main/java/org/lentilsail/measure/MeasureMain.java
@@ -2,11 +2,11 @@
 
 import java.util.Arrays;
 import java.util.List;
-import org.lentilsail.measure.waiting.DispatchCostCommand;
-import org.lentilsail.measure.waiting.WaitingCommand;
 import org.lentilsail.measure.fleet.CapacityCommand;
 import org.lentilsail.measure.fleet.RoundCostCommand;
 import org.lentilsail.measure.fleet.WavesCommand;
+import org.lentilsail.measure.waiting.DispatchCostCommand;
+import org.lentilsail.measure.waiting.WaitingCommand;
 
 /** Measurements: runs the subcommand that the first argument names. */
 public final class MeasureMain {
@@ -14,7 +14,6 @@
   private static final int EXIT_USAGE = 2;
 
   /** The subcommands. */
-  private static final List<MeasureCommand> COMMANDS =
   private static final List<MeasureCommand> COMMANDS =
       List.of(
           new DistributionCommand(),
