Read and write peer messages without a tree, and share read buffers

Cause: a request through the entry daemon allocated about 150 KB over 7 daemons; each read of a peer connection took a new buffer of 64 KB, and messages went through a JSON tree twice. Change: one read buffer for the peer thread, messages written and read as bytes with a short head, response bodies through pooled buffers.

--- a/library/src/main/java/org/lentilsail/http/ResponseBodyReader.java
+++ b/library/src/main/java/org/lentilsail/http/ResponseBodyReader.java
@@ -2,6 +2,8 @@
 
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientResponse;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
@@ -16,9 +18,6 @@
 
 /** Reads a response body without blocking and makes sure that it is complete. */
 final class ResponseBodyReader {
-  /** Size in bytes of one read. */
-  private static final int READ_BYTES = 16 * 1024;
-
   /** Statuses below this one are informational. */
   private static final int FIRST_FINAL_STATUS = 200;
 
@@ -34,6 +33,9 @@
   /** Channel from the server. */
   private final StreamSourceChannel channel;
 
+  /** Network buffers. */
+  private final ByteBufferPool buffers;
+
   /** The call. */
   private final HttpCall call;
 
@@ -53,6 +55,7 @@
       final BiConsumer<HttpFailure, String> onFailure) {
     this.head = exchange.getResponse();
     this.channel = exchange.getResponseChannel();
+    this.buffers = exchange.getConnection().getBufferPool();
     this.call = call;
     this.onComplete = onComplete;
     this.onFailure = onFailure;
@@ -63,10 +66,9 @@
   }
 
   private void readMore() {
-    final ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
-    try {
+    try (PooledByteBuffer pooled = buffers.allocate()) {
       while (true) {
-        buffer.clear();
+        final ByteBuffer buffer = pooled.getBuffer().clear();
         final int count = channel.read(buffer);
         if (count == 0) {
           channel.getReadSetter().set(ready -> readMore());
@@ -77,7 +79,7 @@
           finish();
           return;
         }
-        body.write(buffer.array(), 0, count);
+        append(buffer.flip());
         if (body.size() > call.responseLimit()) {
           onFailure.accept(
               HttpFailure.TOO_LARGE,
@@ -91,6 +93,12 @@
     }
   }
 
+  private void append(final ByteBuffer buffer) {
+    final byte[] chunk = new byte[buffer.remaining()];
+    buffer.get(chunk);
+    body.writeBytes(chunk);
+  }
+
   private void finish() {
     if (isComplete()) {
       onComplete.accept(new HttpResponse(head.getResponseCode(), fields(), body.toByteArray()));
--- a/library/src/main/java/org/lentilsail/peer/Envelope.java
+++ b/library/src/main/java/org/lentilsail/peer/Envelope.java
@@ -1,13 +1,14 @@
 package org.lentilsail.peer;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
-
 /**
  * A message that has arrived, before its content is read.
  *
  * @param type type of the message
  * @param request number of the request that asks for a reply, 0 for none
  * @param reply number of the request that this replies to, 0 for none
- * @param content the whole map
+ * @param frame bytes of the whole map; they must not be changed
+ * @param contentOffset index of the first byte of the content
+ * @param contentLength number of bytes of the content
  */
-record Envelope(String type, long request, long reply, ObjectNode content) {}
+record Envelope(
+    String type, long request, long reply, byte[] frame, int contentOffset, int contentLength) {}
--- a/library/src/main/java/org/lentilsail/peer/PeerCodec.java
+++ b/library/src/main/java/org/lentilsail/peer/PeerCodec.java
@@ -3,17 +3,18 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.lentilsail.model.error.ErrorCode;
 import org.lentilsail.model.error.LentilsailException;
+import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -31,7 +32,13 @@
   /** Field with the number of the request that is replied to. */
   private static final String REPLY = "$reply";
 
-  /** Writes and reads the maps; fields of later versions are ignored. */
+  /** Field with the content of the message; always the last one. */
+  private static final String CONTENT = "content";
+
+  /** Most bytes of a field name or type. */
+  private static final int MAX_TEXT_BYTES = 256;
+
+  /** Writes and reads the content; fields of later versions are ignored. */
   private final ObjectMapper mapper =
       new ObjectMapper(new MessagePackFactory())
           .addMixIn(PeerMessage.class, Untyped.class)
@@ -45,41 +52,33 @@
   }
 
   ByteBuffer encode(final PeerMessage message, final long request, final long reply) {
-    final ObjectNode map = mapper.valueToTree(message);
-    map.put(TYPE, nameOf(message.getClass()));
-    if (request != 0) {
-      map.put(REQUEST, request);
-    }
-    if (reply != 0) {
-      map.put(REPLY, reply);
-    }
-    final byte[] body = bytes(map);
-    if (body.length > FrameReader.MAX_BYTES) {
+    final byte[] content = bytes(message);
+    final byte[] head = head(nameOf(message.getClass()), request, reply);
+    final int size = head.length + content.length;
+    if (size > FrameReader.MAX_BYTES) {
       throw new LentilsailException(
           ErrorCode.TOO_LARGE,
-          "message " + nameOf(message.getClass()) + " has " + body.length + " bytes",
+          "message " + nameOf(message.getClass()) + " has " + size + " bytes",
           "send at most " + FrameReader.MAX_BYTES + " bytes");
     }
-    final ByteBuffer frame = ByteBuffer.allocate(FrameReader.HEADER_BYTES + body.length);
-    return frame.putInt(body.length).put(body).flip();
+    final ByteBuffer frame = ByteBuffer.allocate(FrameReader.HEADER_BYTES + size);
+    return frame.putInt(size).put(head).put(content).flip();
   }
 
-  /** Reads the map of a frame and checks that the frame holds exactly one. */
+  /** Reads the head of a frame and checks that the frame holds exactly one map. */
   Envelope open(final byte[] frame) {
-    try {
-      requireOneValue(frame);
-      final JsonNode map = mapper.readTree(frame);
-      if (map instanceof ObjectNode content && content.path(TYPE).isTextual()) {
-        return new Envelope(
-            content.path(TYPE).asText(),
-            content.path(REQUEST).asLong(),
-            content.path(REPLY).asLong(),
-            content);
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
+      final Envelope result = envelope(frame, unpacker);
+      if (unpacker.getTotalReadBytes() != frame.length) {
+        throw notMessagePack(frame, "bytes follow the map");
       }
-    } catch (final IOException | RuntimeException error) {
+      if (result.type().isEmpty()) {
+        throw notMessagePack(frame, "no map with a type");
+      }
+      return result;
+    } catch (final IOException | MessagePackException error) {
       throw notMessagePack(frame, error.toString());
     }
-    throw notMessagePack(frame, "no map with a type");
   }
 
   /**
@@ -89,28 +88,75 @@
    */
   <M extends PeerMessage> M read(final Envelope envelope, final Class<M> type) {
     try {
-      return mapper.treeToValue(envelope.content(), type);
-    } catch (final JsonProcessingException | RuntimeException error) {
+      return mapper.readValue(
+          envelope.frame(), envelope.contentOffset(), envelope.contentLength(), type);
+    } catch (final IOException | RuntimeException error) {
       return null;
     }
   }
 
-  private byte[] bytes(final ObjectNode map) {
+  /**
+   * Reads the fields of the map. The content is only skipped here; skipping allocates nothing, so a
+   * frame that announces a huge value does no harm.
+   */
+  private static Envelope envelope(final byte[] frame, final MessageUnpacker unpacker)
+      throws IOException {
+    final int fields = unpacker.unpackMapHeader();
+    String type = "";
+    long request = 0;
+    long reply = 0;
+    int contentOffset = 0;
+    int contentLength = 0;
+    for (int i = 0; i < fields; i++) {
+      switch (text(unpacker)) {
+        case TYPE -> type = text(unpacker);
+        case REQUEST -> request = unpacker.unpackLong();
+        case REPLY -> reply = unpacker.unpackLong();
+        case CONTENT -> {
+          contentOffset = (int) unpacker.getTotalReadBytes();
+          unpacker.skipValue();
+          contentLength = (int) unpacker.getTotalReadBytes() - contentOffset;
+        }
+        default -> unpacker.skipValue();
+      }
+    }
+    return new Envelope(type, request, reply, frame, contentOffset, contentLength);
+  }
+
+  /** Reads a short text; a longer one, such as a huge announced size, is refused unread. */
+  private static String text(final MessageUnpacker unpacker) throws IOException {
+    final int length = unpacker.unpackRawStringHeader();
+    if (length > MAX_TEXT_BYTES) {
+      throw new IOException("a field name or type of " + length + " bytes");
+    }
+    return new String(unpacker.readPayload(length), StandardCharsets.UTF_8);
+  }
+
+  private byte[] bytes(final PeerMessage message) {
     try {
-      return mapper.writeValueAsBytes(map);
+      return mapper.writeValueAsBytes(message);
     } catch (final JsonProcessingException error) {
       throw new LentilsailException(
           ErrorCode.INTERNAL, "message cannot be written: " + error, "report this defect", error);
     }
   }
 
-  /** Skipping allocates nothing, so a frame that announces a huge value does no harm. */
-  private static void requireOneValue(final byte[] frame) throws IOException {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
-      unpacker.skipValue();
-      if (unpacker.getTotalReadBytes() != frame.length) {
-        throw new IOException("bytes follow the map");
+  /** Writes the map up to its last field, whose value is the content. */
+  private static byte[] head(final String type, final long request, final long reply) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packMapHeader(2 + (request != 0 ? 1 : 0) + (reply != 0 ? 1 : 0));
+      packer.packString(TYPE).packString(type);
+      if (request != 0) {
+        packer.packString(REQUEST).packLong(request);
       }
+      if (reply != 0) {
+        packer.packString(REPLY).packLong(reply);
+      }
+      packer.packString(CONTENT);
+      return packer.toByteArray();
+    } catch (final IOException error) {
+      throw new LentilsailException(
+          ErrorCode.INTERNAL, "message cannot be written: " + error, "report this defect", error);
     }
   }
 
--- a/library/src/main/java/org/lentilsail/peer/PeerConnection.java
+++ b/library/src/main/java/org/lentilsail/peer/PeerConnection.java
@@ -21,9 +21,6 @@
   /** Most frames handed to the operating system in one call. */
   private static final int MAX_GATHERED = 32;
 
-  /** Size in bytes of one read. */
-  private static final int READ_BYTES = 64 * 1024;
-
   /** The channel. */
   private final SocketChannel channel;
 
@@ -42,6 +39,9 @@
   /** Bytes that wait, together with those reserved by other threads. */
   private final AtomicLong queuedBytes = new AtomicLong();
 
+  /** Buffer of the loop's thread for one read. */
+  private ByteBuffer buffer;
+
   /** Registration with the loop. */
   private SelectionKey key;
 
@@ -56,6 +56,7 @@
   }
 
   void register(final PeerLoop loop, final int operations) throws IOException {
+    buffer = loop.readBuffer();
     key = loop.register(channel, operations, this::ready);
   }
 
@@ -123,7 +124,7 @@
   }
 
   private void read() throws IOException {
-    final ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
+    buffer.clear();
     final int count = channel.read(buffer);
     if (count < 0) {
       if (!reader.isBetweenFrames()) {
--- a/library/src/main/java/org/lentilsail/peer/PeerLink.java
+++ b/library/src/main/java/org/lentilsail/peer/PeerLink.java
@@ -175,7 +175,8 @@
       return;
     }
     if (envelope.type().equals(RequestFailed.NAME)) {
-      request.fail(peer.id(), envelope.content().path("reason").asText());
+      final RequestFailed failed = context.codec().read(envelope, RequestFailed.class);
+      request.fail(peer.id(), failed == null ? "unreadable reason" : failed.reason());
     } else {
       request.complete(context.codec(), envelope, peer.id());
     }
--- a/library/src/main/java/org/lentilsail/peer/PeerLoop.java
+++ b/library/src/main/java/org/lentilsail/peer/PeerLoop.java
@@ -1,6 +1,7 @@
 package org.lentilsail.peer;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -20,6 +21,12 @@
   /** Longest time in ms to wait for the thread at the end. */
   private static final long JOIN_MILLIS = 2_000;
 
+  /** Size in bytes of one read. */
+  private static final int READ_BYTES = 64 * 1024;
+
+  /** Buffer of all reads; a buffer for each read was most of what a request allocated. */
+  private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
+
   /** Waits for channels. */
   private final Selector selector;
 
@@ -65,6 +72,11 @@
     }
   }
 
+  /** Returns the buffer of reads, for the loop's thread only. */
+  ByteBuffer readBuffer() {
+    return readBuffer;
+  }
+
   boolean isClosed() {
     return closed;
   }
--- a/system/src/main/java/org/lentilsail/system/ChildProcess.java
+++ b/system/src/main/java/org/lentilsail/system/ChildProcess.java
@@ -14,6 +14,9 @@
   /** Time in s that a process gets to end after SIGTERM. */
   private static final int STOP_SECONDS = 20;
 
+  /** System property with further options of the runtime, for profiling. */
+  private static final String OPTIONS_PROPERTY = "lentilsail.childOptions";
+
   /** Name for messages. */
   private final String name;
 
@@ -50,8 +53,7 @@
     final List<String> command = new ArrayList<>();
     command.add(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java");
     command.add("-Xmx" + heapMegabytes + "m");
-    command.add("-XX:+UseSerialGC");
-    command.add("-XX:TieredStopAtLevel=" + System.getProperty("lentilsail.jitLevel", "4"));
+    command.addAll(List.of(System.getProperty(OPTIONS_PROPERTY, "-XX:+UseSerialGC").split(" ")));
     command.add("-cp");
     command.add(System.getProperty("java.class.path"));
     command.add(mainClass);
