Remove settings that nothing read, and wire the length of key terms

Cause: six settings were checked and then ignored by the daemon, which misleads operators. Change: they are gone until a part reads them; keyTermMinutes reaches the term keeper; weights of 0 are refused, since the policy compares ratios.

--- a/daemon/src/main/java/org/lentilsail/daemon/KeyParts.java
+++ b/daemon/src/main/java/org/lentilsail/daemon/KeyParts.java
@@ -25,6 +25,7 @@
             shared.platform(),
             table,
             shared.time(),
+            TimeUnit.MINUTES.toMillis(shared.settings().keyTermMinutes()),
             shared.settings().id(),
             shared.network().incarnation());
   }
--- a/library/src/main/java/org/lentilsail/idempotency/KeyTermKeeper.java
+++ b/library/src/main/java/org/lentilsail/idempotency/KeyTermKeeper.java
@@ -17,9 +17,6 @@
  * it. After a lost reply the key is read again before anything else is done with it.
  */
 public final class KeyTermKeeper {
-  /** Time in ms by which a term reaches ahead; bounds the outage that keyed requests survive. */
-  private static final long AHEAD_MILLIS = 3_600_000;
-
   /** Time in ms after which a term is extended. */
   private static final long EXTEND_MILLIS = 60_000;
 
@@ -47,6 +44,9 @@
   /** Clocks. */
   private final TimeSource time;
 
+  /** Time in ms by which a term reaches ahead; bounds the outage that keyed requests survive. */
+  private final long aheadMillis;
+
   /** Id of this daemon. */
   private final String self;
 
@@ -65,6 +65,7 @@
    * @param platform the platform
    * @param table admits keys of the confirmed terms
    * @param time clocks
+   * @param aheadMillis time in ms by which a term reaches ahead
    * @param self id of this daemon
    * @param incarnation incarnation of this daemon
    */
@@ -72,11 +73,13 @@
       final PlatformClient platform,
       final KeyTable table,
       final TimeSource time,
+      final long aheadMillis,
       final String self,
       final long incarnation) {
     this.platform = platform;
     this.table = table;
     this.time = time;
+    this.aheadMillis = aheadMillis;
     this.self = self;
     this.incarnation = incarnation;
     for (int range = 0; range < ranges.length; range++) {
@@ -151,7 +154,7 @@
 
   private void renew(final int range, final boolean surplus, final boolean wanted) {
     final KeyTerm term = ranges[range].term().orElseThrow();
-    final long target = time.wallMillis() + AHEAD_MILLIS;
+    final long target = time.wallMillis() + aheadMillis;
     final RangeState state = ranges[range];
     if (state.isGivenUp() && term.toMillis() == state.givenUpMillis() && wanted && !stopping) {
       // Nobody has taken the range since this daemon gave it up.
@@ -178,7 +181,7 @@
               Math.max(term.get().fromMillis(), Math.min(term.get().toMillis(), now + CUT_MILLIS)));
     }
     if (from.isPresent()) {
-      write(range, new KeyTerm(range, self, incarnation, from.getAsLong(), now + AHEAD_MILLIS));
+      write(range, new KeyTerm(range, self, incarnation, from.getAsLong(), now + aheadMillis));
     }
     return from.isPresent();
   }
--- a/library/src/test/java/org/lentilsail/idempotency/KeyHistory.java
+++ b/library/src/test/java/org/lentilsail/idempotency/KeyHistory.java
@@ -127,7 +127,7 @@
     int offset = random.nextInt(2 * MAX_OFFSET_MILLIS) - MAX_OFFSET_MILLIS;
 
     Daemon(final int index) {
-      keeper = new KeyTermKeeper(platform, table, this, "d" + index, incarnation);
+      keeper = new KeyTermKeeper(platform, table, this, 3_600_000, "d" + index, incarnation);
     }
 
     @Override
--- a/model/src/main/java/org/lentilsail/model/json/CheckedObject.java
+++ b/model/src/main/java/org/lentilsail/model/json/CheckedObject.java
@@ -130,9 +130,9 @@
         .map(
             value -> {
               final boolean good =
-                  value.isNumber() && value.decimalValue().compareTo(BigDecimal.ZERO) >= 0;
+                  value.isNumber() && value.decimalValue().compareTo(BigDecimal.ZERO) > 0;
               if (!good) {
-                fault(name, "write a number that is not negative");
+                fault(name, "write a number above 0");
               }
               return good ? value.doubleValue() : byDefault;
             })
--- a/model/src/main/java/org/lentilsail/model/settings/EntrySettings.java
+++ b/model/src/main/java/org/lentilsail/model/settings/EntrySettings.java
@@ -13,15 +13,9 @@
  * @param peerAddress where other entry daemons connect
  * @param peers the other entry daemons
  * @param platformAddress address of the platform
- * @param workerSlots requests that run at once on one worker
- * @param requestBodyLimitBytes largest request body in bytes
- * @param responseLimitBytes largest response body in bytes
- * @param headerLimitBytes largest request header in bytes
  * @param drainGraceMillis time in ms between reporting not ready and refusing connections on stop
  * @param keyTermMinutes time in minutes by which a term of idempotency keys reaches ahead
  * @param keyMemoryMinutes time in minutes for which outcomes of keyed requests are kept
- * @param heartbeatMillis time in ms between heartbeats to peers
- * @param controlRoundMillis time in ms between control rounds
  * @param controlLeaseMillis time to live in ms of the control lease
  * @param ioThreads threads that carry traffic
  * @param weights weights of the policy
@@ -35,15 +29,9 @@
     HostPort peerAddress,
     List<PeerSettings> peers,
     HostPort platformAddress,
-    int workerSlots,
-    int requestBodyLimitBytes,
-    int responseLimitBytes,
-    int headerLimitBytes,
     int drainGraceMillis,
     int keyTermMinutes,
     int keyMemoryMinutes,
-    int heartbeatMillis,
-    int controlRoundMillis,
     int controlLeaseMillis,
     int ioThreads,
     WeightSettings weights) {
--- a/model/src/main/java/org/lentilsail/model/settings/SettingsReader.java
+++ b/model/src/main/java/org/lentilsail/model/settings/SettingsReader.java
@@ -10,12 +10,6 @@
 
 /** Reads the settings of an entry daemon from a JSON document and collects the faults. */
 final class SettingsReader {
-  /** Bytes in a KiB. */
-  private static final int KIB = 1024;
-
-  /** Bytes in a MiB. */
-  private static final int MIB = 1024 * KIB;
-
   /**
    * Shortest control lease in ms: the holder renews every 1,000 ms and stops 1,000 ms before the
    * lease can expire.
@@ -53,15 +47,9 @@
             address(document, "peerAddress", true),
             peers(),
             address(document, "platformAddress", false),
-            integer("workerSlots", 8, 1, 4_096),
-            integer("requestBodyLimitBytes", MIB, KIB, 64 * MIB),
-            integer("responseLimitBytes", 8 * MIB, KIB, 8 * MIB),
-            integer("headerLimitBytes", 16 * KIB, KIB, MIB),
             integer("drainGraceMillis", 3_000, 0, DAY_MILLIS),
             integer("keyTermMinutes", 60, 2, DAY_MINUTES),
             integer("keyMemoryMinutes", 120, 2, DAY_MINUTES),
-            integer("heartbeatMillis", 250, 10, 1_000),
-            integer("controlRoundMillis", 1_000, 50, 60_000),
             integer("controlLeaseMillis", 5_000, LEAST_LEASE_MILLIS, 60_000),
             integer("ioThreads", 2, 1, 64),
             weights());
--- a/model/src/main/java/org/lentilsail/model/settings/WeightSettings.java
+++ b/model/src/main/java/org/lentilsail/model/settings/WeightSettings.java
@@ -1,7 +1,7 @@
 package org.lentilsail.model.settings;
 
 /**
- * Weighs the four measures of the policy against each other; 0 ignores a measure.
+ * Weighs the four measures of the policy against each other; only their ratios matter.
  *
  * @param bufferCost weight of capacity that is held idle
  * @param rollOutTime weight of the time that a configuration or wave takes
--- a/model/src/test/java/org/lentilsail/model/settings/SettingsLoaderTest.java
+++ b/model/src/test/java/org/lentilsail/model/settings/SettingsLoaderTest.java
@@ -23,8 +23,8 @@
   @Test
   void fillsInDefaults() {
     final EntrySettings settings = SettingsLoader.parse(REQUIRED + "}", "entry.json");
-    assertThat(settings.workerSlots(), is(8));
-    assertThat(settings.heartbeatMillis(), is(250));
+    assertThat(settings.ioThreads(), is(2));
+    assertThat(settings.keyTermMinutes(), is(60));
     assertThat(settings.weights(), is(new WeightSettings(1, 1, 1, 1)));
     assertThat(settings.peers().get(0).address(), is(new HostPort("127.0.0.2", 7100)));
   }
@@ -39,8 +39,8 @@
                     """
                     {"id": "entry 1", "region": "south", "availabilityZone": "recife",
                      "callerAddress": "127.0.0.1", "adminAddress": "127.0.0.1:70000",
-                     "platformAddress": "127.0.0.1:0", "heartbeatMilis": 100,
-                     "workerSlots": "8", "controlLeaseMillis": 1000, "weights": {"moves": -1},
+                     "platformAddress": "127.0.0.1:0", "drainGraceMilis": 100,
+                     "ioThreads": "8", "controlLeaseMillis": 1000, "weights": {"moves": -1},
                      "peers": [{"id": "a", "address": "h:1", "availabilityZone": "z"},
                                {"id": "a", "address": "h:1", "availabilityZone": "z"}]}
                     """,
@@ -57,10 +57,10 @@
             "peerAddress is missing: " + any,
             "platformAddress is \"127.0.0.1:0\": write an address as host:port with a port from 1"
                 + " to 65535",
-            "workerSlots is \"8\": write a whole number from 1 to 4096",
             "controlLeaseMillis is 1000: write a whole number from 3000 to 60000",
-            "weights.moves is -1: write a number that is not negative",
-            "heartbeatMilis is 100: this field is unknown; did you mean heartbeatMillis?",
+            "ioThreads is \"8\": write a whole number from 1 to 64",
+            "weights.moves is -1: write a number above 0",
+            "drainGraceMilis is 100: this field is unknown; did you mean drainGraceMillis?",
             "peers[1].id is \"a\": write an id that no daemon has yet"));
   }
 
