Resume halted waves by a count in the record

Cause: a wave that failures had halted went on only after its record was paused and resumed; resume alone answered that the wave was not paused. Change: wave records of version 2 and the wave progress have a count resumes. Resume clears paused and raises the count; control resumes a halted wave when the record's count is higher. Control takes the count over in every round, so that a resume of a running wave does not undo a later halt. Pausing no longer resumes a halted wave. Conclusion: one command resumes a wave, whether paused or halted.

--- a/cli/src/main/java/org/lentilsail/cli/Commands.java
+++ b/cli/src/main/java/org/lentilsail/cli/Commands.java
@@ -16,11 +16,7 @@
               "status", "WAVE", "shows the progress of a wave", List.of("/v1/waves/", "")),
           new ActionCommand("pause", "WAVE", "pauses a wave", "waves", "is paused already"),
           new ActionCommand(
-              "resume",
-              "WAVE",
-              "resumes a paused wave",
-              "waves",
-              "is not paused; pause and resume a wave that failures have halted"),
+              "resume", "WAVE", "resumes a paused or halted wave", "waves", "runs already"),
           new DrainCommand(),
           new ActionCommand(
               "return", "VM", "returns a drained VM to service", "vms", "is not held"),
--- a/cli/src/test/java/org/lentilsail/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/lentilsail/cli/CommandLineTest.java
@@ -198,9 +198,10 @@
             Map.of(
                 "kernel",
                 new WaveSpec(
-                    "kernel", List.of("green"), 1, 1, 2, ResumeMode.OPERATOR, false, 1, 1, 0)),
+                    "kernel", List.of("green"), 1, 1, 2, ResumeMode.OPERATOR, false, 1, 1, 0, 0)),
             Map.of());
-    final WaveProgress progress = new WaveProgress("kernel", 1, 1, Set.of(), Set.of(), false, 1, 0);
+    final WaveProgress progress =
+        new WaveProgress("kernel", 1, 1, Set.of(), Set.of(), false, 1, 0, 0);
     final ConfigurationSnapshot snapshot =
         new ConfigurationSnapshot(
             9,
--- a/library/src/main/java/org/lentilsail/acceptance/OperatorCommands.java
+++ b/library/src/main/java/org/lentilsail/acceptance/OperatorCommands.java
@@ -45,30 +45,49 @@
   }
 
   /**
-   * Pauses or resumes a wave.
+   * Pauses a wave.
    *
    * @param wave name of the wave
-   * @param paused whether the wave shall be paused
    * @param mark mark of the write
    * @param limit longest time to wait
    * @return the confirmation
    */
-  public AcceptedWrite pauseWave(
-      final String wave, final boolean paused, final String mark, final Duration limit) {
+  public AcceptedWrite pauseWave(final String wave, final String mark, final Duration limit) {
     final RecordKey key = new RecordKey(RecordKind.WAVE, wave);
     return repeatAfterConflict(
         () -> {
           final VersionedRecord current = records.read(key, RecordKind.WAVE.newestVersion(), limit);
           final ObjectNode spec = current.document().spec().deepCopy();
           AcceptedWrite result = new AcceptedWrite(key, current.revision(), mark, false);
-          if (spec.path("paused").asBoolean() != paused) {
-            spec.put("paused", paused);
+          if (!spec.path("paused").asBoolean()) {
+            spec.put("paused", true);
             result = write(key, current.revision(), spec, mark, limit);
           }
           return result;
         });
   }
 
+  /**
+   * Resumes a wave that is paused or that failures have halted. The count goes up even when the
+   * wave is not paused, because only control knows whether it is halted.
+   *
+   * @param wave name of the wave
+   * @param mark mark of the write
+   * @param limit longest time to wait
+   * @return the confirmation
+   */
+  public AcceptedWrite resumeWave(final String wave, final String mark, final Duration limit) {
+    final RecordKey key = new RecordKey(RecordKind.WAVE, wave);
+    return repeatAfterConflict(
+        () -> {
+          final VersionedRecord current = records.read(key, RecordKind.WAVE.newestVersion(), limit);
+          final ObjectNode spec = current.document().spec().deepCopy();
+          spec.put("paused", false);
+          spec.put("resumes", spec.path("resumes").asInt() + 1);
+          return write(key, current.revision(), spec, mark, limit);
+        });
+  }
+
   /**
    * Drains a VM by a hold record. With force, a drain that the platform does not record in time is
    * spread as a notice, and the exception of the platform tells so.
--- a/library/src/main/java/org/lentilsail/admin/RecordRoutes.java
+++ b/library/src/main/java/org/lentilsail/admin/RecordRoutes.java
@@ -74,11 +74,11 @@
   }
 
   JsonNode pauseWave(final AdminRequest request) {
-    return json(commands.pauseWave(request.path("wave"), true, request.mark(), LIMIT));
+    return json(commands.pauseWave(request.path("wave"), request.mark(), LIMIT));
   }
 
   JsonNode resumeWave(final AdminRequest request) {
-    return json(commands.pauseWave(request.path("wave"), false, request.mark(), LIMIT));
+    return json(commands.resumeWave(request.path("wave"), request.mark(), LIMIT));
   }
 
   JsonNode drain(final AdminRequest request) {
--- a/library/src/main/java/org/lentilsail/admin/SnapshotExplainer.java
+++ b/library/src/main/java/org/lentilsail/admin/SnapshotExplainer.java
@@ -77,7 +77,7 @@
                   + " VMs failed and the record halts after "
                   + report.spec().haltAfterFailures()
                   + ("OPERATOR".equals(report.spec().resume().name())
-                      ? "; pause and then resume the wave to go on."
+                      ? "; resume the wave to go on."
                       : "; it resumes once failures have stayed away for 60 s."));
       default ->
           because.add(
--- a/library/src/test/java/org/lentilsail/acceptance/RecordServiceTest.java
+++ b/library/src/test/java/org/lentilsail/acceptance/RecordServiceTest.java
@@ -145,15 +145,28 @@
     pool(0, "{}", "m1");
     put(WAVE, 0, "{'pools':['green']}", "w1");
     platform.overtaking.add(() -> put(WAVE, 2, "{'pools':['green'],'run':2}", "other"));
-    assertThat(commands.pauseWave("kernel", true, "p", LIMIT).changed(), is(true));
+    assertThat(commands.pauseWave("kernel", "p", LIMIT).changed(), is(true));
     assertThat(
         service.read(WAVE, 2, LIMIT).document().spec(),
         is(json("{'pools':['green'],'run':2,'paused':true}")));
-    assertThat(commands.pauseWave("kernel", true, "q", LIMIT).changed(), is(false));
-    commands.pauseWave("kernel", false, "r", LIMIT);
+    assertThat(commands.pauseWave("kernel", "q", LIMIT).changed(), is(false));
+    commands.resumeWave("kernel", "r", LIMIT);
     assertThat(service.read(WAVE, 2, LIMIT).document().spec().get("paused").asBoolean(), is(false));
   }
 
+  /** Guards against a resume that has no effect on a halted wave, which is not paused. */
+  @Test
+  void countsResumesOfWaveThatIsNotPaused() {
+    pool(0, "{}", "m1");
+    put(WAVE, 0, "{'pools':['green']}", "w1");
+    assertThat(commands.resumeWave("kernel", "r1", LIMIT).changed(), is(true));
+    platform.overtaking.add(() -> put(WAVE, 3, "{'pools':['green'],'resumes':5}", "other"));
+    commands.resumeWave("kernel", "r2", LIMIT);
+    assertThat(
+        service.read(WAVE, 2, LIMIT).document().spec(),
+        is(json("{'pools':['green'],'resumes':6,'paused':false}")));
+  }
+
   /** Guards against holds that stay after the return, or a drain that loses its force. */
   @Test
   void drainsAndReturns() {
--- a/library/src/test/java/org/lentilsail/admin/AdminServerTest.java
+++ b/library/src/test/java/org/lentilsail/admin/AdminServerTest.java
@@ -255,10 +255,10 @@
             Map.of(
                 "kernel",
                 new WaveSpec(
-                    "kernel", List.of("green"), 1, 1, 2, ResumeMode.OPERATOR, false, 1, 1, 0)),
+                    "kernel", List.of("green"), 1, 1, 2, ResumeMode.OPERATOR, false, 1, 1, 0, 0)),
             Map.of("vm-1", new HoldSpec("vm-1", "vm-1", false, "disk")));
     final WaveProgress progress =
-        new WaveProgress("kernel", 1, 1, Set.of("vm-2"), Set.of(), false, 1, 0);
+        new WaveProgress("kernel", 1, 1, Set.of("vm-2"), Set.of(), false, 1, 0, 0);
     final ConfigurationSnapshot snapshot =
         new ConfigurationSnapshot(
             9,
--- a/measure/src/main/java/org/lentilsail/measure/fleet/Deployment.java
+++ b/measure/src/main/java/org/lentilsail/measure/fleet/Deployment.java
@@ -78,7 +78,7 @@
     final List<String> all =
         List.copyOf(services.values().stream().map(ServiceSpec::pool).toList());
     final WaveSpec spec =
-        new WaveSpec("w", all, size(), 1, 9, ResumeMode.AUTOMATIC, false, 300, 300, 0);
+        new WaveSpec("w", all, size(), 1, 9, ResumeMode.AUTOMATIC, false, 300, 300, 0, 0);
     return new Records(poolSpecs, services, budgets, wave ? Map.of("w", spec) : Map.of(), Map.of());
   }
 }
--- a/model/src/main/java/org/lentilsail/model/fleet/FleetCodec.java
+++ b/model/src/main/java/org/lentilsail/model/fleet/FleetCodec.java
@@ -109,6 +109,9 @@
     if (wave.finishedMillis() != 0) {
       json.put("finished", wave.finishedMillis());
     }
+    if (wave.resumes() != 0) {
+      json.put("resumes", wave.resumes());
+    }
     return json;
   }
 
@@ -121,7 +124,8 @@
         names(json.path("failed")),
         json.path("halted").asBoolean(),
         json.path("changed").asLong(),
-        json.path("finished").asLong());
+        json.path("finished").asLong(),
+        json.path("resumes").asInt());
   }
 
   private static void putNames(final ObjectNode json, final String field, final Set<String> names) {
--- a/model/src/main/java/org/lentilsail/model/fleet/WaveProgress.java
+++ b/model/src/main/java/org/lentilsail/model/fleet/WaveProgress.java
@@ -13,6 +13,7 @@
  * @param halted whether failures have halted the wave
  * @param changedMillis wall clock time of the last failure, halt or resumption
  * @param finishedMillis wall clock time of the end, 0 while the wave runs
+ * @param resumes number of resumptions by operators that this progress takes into account
  */
 public record WaveProgress(
     String wave,
@@ -22,7 +23,8 @@
     Set<String> failed,
     boolean halted,
     long changedMillis,
-    long finishedMillis) {
+    long finishedMillis,
+    int resumes) {
 
   /** Copies the sets, so that the progress cannot change. */
   public WaveProgress {
--- a/model/src/main/java/org/lentilsail/model/record/SchemaFields.java
+++ b/model/src/main/java/org/lentilsail/model/record/SchemaFields.java
@@ -48,7 +48,8 @@
                   "paused",
                   "drainLimitSeconds",
                   "returnLimitSeconds",
-                  "repeatDays");
+                  "repeatDays",
+                  "resumes");
       case HOLD -> whole("vm", "force", "reason");
     };
   }
--- a/model/src/main/java/org/lentilsail/model/record/WaveReader.java
+++ b/model/src/main/java/org/lentilsail/model/record/WaveReader.java
@@ -9,7 +9,7 @@
 
 /** Reads the spec of a maintenance wave. */
 final class WaveReader implements SpecReader<WaveSpec> {
-  /** Largest number of a run. */
+  /** Largest number of a run, and of resumptions. */
   private static final int MAX_RUN = 1_000_000_000;
 
   /** Limit in s when the record names none. */
@@ -38,7 +38,8 @@
         two && spec.flag("paused", false),
         two ? limitSeconds(spec, "drainLimitSeconds") : DEFAULT_LIMIT_SECONDS,
         two ? limitSeconds(spec, "returnLimitSeconds") : DEFAULT_LIMIT_SECONDS,
-        two ? integer(spec, "repeatDays", 0, 0, MAX_REPEAT_DAYS) : 0);
+        two ? integer(spec, "repeatDays", 0, 0, MAX_REPEAT_DAYS) : 0,
+        two ? integer(spec, "resumes", 0, 0, MAX_RUN) : 0);
   }
 
   private static ResumeMode resume(final CheckedObject spec) {
--- a/model/src/main/java/org/lentilsail/model/record/WaveSpec.java
+++ b/model/src/main/java/org/lentilsail/model/record/WaveSpec.java
@@ -15,6 +15,8 @@
  * @param drainLimitSeconds time in s after which running work is checkpointed
  * @param returnLimitSeconds time in s within which a rebooted VM must be back in service
  * @param repeatDays days after which the next run starts by itself, 0 for never
+ * @param resumes number of times that an operator has resumed the wave; a higher number than the
+ *     progress has makes a halted wave go on
  */
 public record WaveSpec(
     String name,
@@ -26,7 +28,8 @@
     boolean paused,
     int drainLimitSeconds,
     int returnLimitSeconds,
-    int repeatDays) {
+    int repeatDays,
+    int resumes) {
 
   /** Copies the list, so that the spec cannot change. */
   public WaveSpec {
--- a/model/src/test/java/org/lentilsail/model/fleet/FleetCodecTest.java
+++ b/model/src/test/java/org/lentilsail/model/fleet/FleetCodecTest.java
@@ -77,7 +77,7 @@
     }
     final WaveProgress wave =
         new WaveProgress(
-            "monthly-kernel", 3, 1L, vms.keySet(), Set.of("fairway-vm-0000"), true, 2L, 3L);
+            "monthly-kernel", 3, 1L, vms.keySet(), Set.of("fairway-vm-0000"), true, 2L, 3L, 4);
     return new FleetDocument(7, "entry-recife-1", vms, Map.of("monthly-kernel", wave));
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/wave/WaveRules.java
+++ b/policy/src/main/java/org/lentilsail/policy/wave/WaveRules.java
@@ -128,7 +128,8 @@
       final WaveState state,
       final Map<String, Map<String, List<VmEntry>>> byPool) {
     final boolean quiet = view.nowMillis() - state.changedMillis() >= AUTOMATIC_RESUME_MILLIS;
-    if (state.halted() && (spec.paused() || spec.resume() == ResumeMode.AUTOMATIC && quiet)) {
+    final boolean operator = state.countResumes(spec.resumes());
+    if (state.halted() && (operator || spec.resume() == ResumeMode.AUTOMATIC && quiet)) {
       state.resume(view.nowMillis());
     } else if (!state.halted() && state.failures() >= Math.max(1, spec.haltAfterFailures())) {
       state.halt(view.nowMillis());
--- a/policy/src/main/java/org/lentilsail/policy/wave/WaveState.java
+++ b/policy/src/main/java/org/lentilsail/policy/wave/WaveState.java
@@ -31,6 +31,9 @@
   /** Wall clock time of the end, 0 while the wave runs. */
   private long finishedMillis;
 
+  /** Resumptions by operators that have taken effect. */
+  private int resumes;
+
   /**
    * Continues a wave.
    *
@@ -45,6 +48,7 @@
     halted = progress.halted();
     changedMillis = progress.changedMillis();
     finishedMillis = progress.finishedMillis();
+    resumes = progress.resumes();
   }
 
   /**
@@ -60,6 +64,7 @@
     done = new HashSet<>();
     failed = new HashSet<>();
     changedMillis = nowMillis;
+    resumes = spec.resumes();
   }
 
   /**
@@ -69,7 +74,7 @@
    */
   WaveProgress progress() {
     return new WaveProgress(
-        wave, run, startedMillis, done, failed, halted, changedMillis, finishedMillis);
+        wave, run, startedMillis, done, failed, halted, changedMillis, finishedMillis, resumes);
   }
 
   /**
@@ -123,6 +128,19 @@
     changedMillis = nowMillis;
   }
 
+  /**
+   * Takes over the record's number of resumptions, whether or not the wave is halted, so that a
+   * resumption of a wave that runs does not undo a later halt.
+   *
+   * @param count number of the record
+   * @return whether an operator has resumed the wave since the last round
+   */
+  boolean countResumes(final int count) {
+    final boolean higher = count > resumes;
+    resumes = count;
+    return higher;
+  }
+
   /**
    * Ends the run.
    *
--- a/policy/src/test/java/org/lentilsail/policy/scenario/Events.java
+++ b/policy/src/test/java/org/lentilsail/policy/scenario/Events.java
@@ -113,7 +113,8 @@
             line.words().contains("paused"),
             line.number(line.after("drain", "300")),
             line.number(line.after("return", "30")),
-            line.number(line.after("days", "0"))));
+            line.number(line.after("days", "0")),
+            line.number(line.after("resumes", "0"))));
   }
 
   private void holder(final ScenarioLine line) {
