--- a/standin/src/main/java/org/lentilsail/standin/platform/FaultHandler.java
+++ b/standin/src/main/java/org/lentilsail/standin/platform/FaultHandler.java
@@ -62,6 +62,12 @@
         exchange.putAttachment(Replies.LOST, true);
         next.handleRequest(exchange);
       }
+      case LOSE_WRITE_REPLIES -> {
+        if (!exchange.getRequestMethod().equals(Methods.GET)) {
+          exchange.putAttachment(Replies.LOST, true);
+        }
+        next.handleRequest(exchange);
+      }
       default -> next.handleRequest(exchange);
     }
   }
--- a/system/src/main/java/org/lentilsail/system/BackgroundLoad.java
+++ b/system/src/main/java/org/lentilsail/system/BackgroundLoad.java
@@ -4,6 +4,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Phaser;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
@@ -46,6 +48,12 @@
   /** Requests with a wrong response. */
   private final AtomicInteger wrong = new AtomicInteger();
 
+  /** Requests without a response from daemons that were ended or frozen on purpose. */
+  private final AtomicInteger closed = new AtomicInteger();
+
+  /** Daemons that are ended or frozen on purpose, whose callers may see closed connections. */
+  private final Set<String> disturbed = ConcurrentHashMap.newKeySet();
+
   /** Whether to go on. */
   private volatile boolean running = true;
 
@@ -64,25 +72,35 @@
     sender.start();
   }
 
+  /**
+   * Allows for callers of a daemon that get no response, because it is about to be ended or frozen.
+   *
+   * @param daemon id of the daemon
+   */
+  void disturb(final String daemon) {
+    disturbed.add(daemon);
+  }
+
   LoadSummary stop() throws InterruptedException {
     running = false;
     sender.join();
     open.arriveAndAwaitAdvance();
-    return new LoadSummary(ran.get(), refused.get(), unknown.get(), wrong.get());
+    return new LoadSummary(ran.get(), refused.get(), unknown.get(), wrong.get(), closed.get());
   }
 
   private void send() {
-    final List<Integer> ports = List.copyOf(fleet.addresses().callers().values());
+    final List<String> daemons = List.copyOf(fleet.addresses().callers().keySet());
     for (int i = 0; running; i++) {
       final String id = "load-" + i;
+      final String daemon = daemons.get(i % daemons.size());
       open.register();
       fleet
           .web()
           .caller()
-          .call(call(ports.get(i % ports.size()), i, id))
+          .call(call(fleet.addresses().callers().get(daemon), i, id))
           .whenComplete(
               (response, error) -> {
-                count(id, response);
+                count(daemon, id, response);
                 open.arriveAndDeregister();
               });
       LockSupport.parkNanos(NANOS_PER_SECOND / perSecond);
@@ -100,14 +118,14 @@
         RESPONSE_LIMIT);
   }
 
-  private void count(final String id, final HttpResponse response) {
+  private void count(final String daemon, final String id, final HttpResponse response) {
     final String outcome = response == null ? "" : response.field("Lentilsail-Outcome").orElse("");
     final AtomicInteger counter =
         switch (outcome) {
           case "ran" -> isOwn(id, response) ? ran : wrong;
           case "not-run" -> refused;
           case "unknown" -> unknown;
-          default -> wrong;
+          default -> response == null && disturbed.contains(daemon) ? closed : wrong;
         };
     counter.incrementAndGet();
   }
--- a/system/src/main/java/org/lentilsail/system/LoadSummary.java
+++ b/system/src/main/java/org/lentilsail/system/LoadSummary.java
@@ -7,8 +7,9 @@
  * @param refused requests with outcome not-run
  * @param unknown requests with outcome unknown
  * @param wrong requests whose response was another one's, was cut off, or had no outcome
+ * @param closed requests without a response from daemons that were ended or frozen on purpose
  */
-record LoadSummary(int ran, int refused, int unknown, int wrong) {
+record LoadSummary(int ran, int refused, int unknown, int wrong, int closed) {
   /**
    * Returns the counts in words.
    *
@@ -23,6 +24,8 @@
         + unknown
         + " unknown, "
         + wrong
-        + " wrong";
+        + " wrong, "
+        + closed
+        + " closed by daemons that were ended or frozen";
   }
 }
--- /dev/null
+++ b/system/src/test/java/org/lentilsail/system/LeavingVmTest.java
@@ -0,0 +1,141 @@
+package org.lentilsail.system;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.lentilsail.http.HttpField;
+import org.lentilsail.http.HttpResponse;
+
+/** Guards P6 and P7: a VM that leaves gets no new work after 3 s, and its running work ends. */
+class LeavingVmTest {
+  private static final long BOUND_MILLIS = 3_000;
+  private static final long OBSERVED_MILLIS = 2_000;
+  private static GuardedFleet guarded;
+
+  @BeforeAll
+  static void start() throws Exception {
+    guarded = new GuardedFleet();
+    guarded.awaitHolder();
+    Await.until(
+        "12 VMs in the fleet document",
+        GuardedFleet.LIMIT,
+        () -> guarded.admin("e1", "GET", "/v1/fleet", "").findPath("vms").size() == 12);
+  }
+
+  @AfterAll
+  static void stop() throws Exception {
+    try (GuardedFleet ending = guarded) {
+      ending.check();
+    }
+  }
+
+  /** Guards against work for a VM that an operator has drained, and one that never comes back. */
+  @Test
+  void drainedByOperatorGetsNoWork() throws Exception {
+    drain("e1", "booking-1");
+    assertNoNewWork("booking-1");
+    assertThat(guarded.fleet.cli("return", "booking-1").exitCode(), is(0));
+    final long before = guarded.started("booking-1");
+    Await.until(
+        "work after the return", GuardedFleet.LIMIT, () -> guarded.started("booking-1") > before);
+    Await.until("booking-1 in service", GuardedFleet.LIMIT, () -> isInService("booking-1"));
+  }
+
+  /** Guards against daemons of a zone without peers that go on sending to a drained VM. */
+  @Test
+  void drainedWhileZoneIsCutOffGetsNoWork() throws Exception {
+    guarded.fleet.links().cutPeers("salvador", true);
+    try {
+      drain("e1", "clubdesk-2");
+      assertNoNewWork("clubdesk-2");
+    } finally {
+      guarded.fleet.links().cutPeers("salvador", false);
+    }
+  }
+
+  /** Guards against a drain that waits for the platform, on daemons that only get the notice. */
+  @Test
+  void drainedByForceWithoutPlatformGetsNoWork() throws Exception {
+    guarded.platformFault("*", "down");
+    try {
+      final long start = System.nanoTime();
+      final CliResult result = guarded.fleet.cli("drain", "booking-4", "--force");
+      assertThat(result.output(), result.exitCode(), is(not(0)));
+      assertThat(result.output(), containsString("not recorded"));
+      System.out.println(
+          "forced drain answered after "
+              + Duration.ofNanos(System.nanoTime() - start).toMillis()
+              + " ms, start of the command line included");
+      assertNoNewWork("booking-4");
+    } finally {
+      guarded.platformFault("*", "ok");
+    }
+  }
+
+  /**
+   * Guards against new work for a VM that the platform takes away, and against cutting its work.
+   */
+  @Test
+  void leavingVmEndsItsWorkAndGetsNoMore() throws Exception {
+    final List<CompletableFuture<HttpResponse>> running = new ArrayList<>();
+    for (int i = 0; i < 16; i++) {
+      final String daemon = "e" + (i % 7 + 1);
+      running.add(CompletableFuture.supplyAsync(() -> longWork(daemon)));
+    }
+    Await.until(
+        "long work on fees-1",
+        GuardedFleet.LIMIT,
+        () -> guarded.backend("fees-1", "GET", "status", "").path("running").asInt() >= 2);
+    guarded
+        .fleet
+        .web()
+        .json(guarded.fleet.addresses().platform(), "POST", "/standin/vms/fees-1/leaving", "");
+    assertNoNewWork("fees-1");
+    for (final CompletableFuture<HttpResponse> each : running) {
+      assertThat(each.join().field("Lentilsail-Outcome").orElse(""), is("ran"));
+    }
+    assertThat(guarded.cutRuns(), is(0L));
+  }
+
+  private static HttpResponse longWork(final String daemon) {
+    return guarded
+        .fleet
+        .web()
+        .send(
+            guarded.fleet.addresses().callers().get(daemon),
+            "PUT",
+            "/fees/long",
+            List.of(new HttpField("Standin-Run-Millis", "4000")),
+            "",
+            Duration.ofSeconds(20));
+  }
+
+  private static void drain(final String daemon, final String vm) throws Exception {
+    assertThat(
+        guarded.admin(daemon, "POST", "/v1/vms/" + vm + "/drain", "{}").path("outcome").asText(),
+        is("accepted"));
+  }
+
+  private static boolean isInService(final String vm) throws Exception {
+    return !guarded.admin("e1", "GET", "/v1/fleet", "").findPath("vms").path(vm).has("phase");
+  }
+
+  /** Lets the bound pass after the announcement, and then compares two journals. */
+  private static void assertNoNewWork(final String vm) throws Exception {
+    assertThat("work before the drain", guarded.started(vm), greaterThan(0L));
+    Thread.sleep(BOUND_MILLIS);
+    final long before = guarded.started(vm);
+    Thread.sleep(OBSERVED_MILLIS);
+    assertThat("runs started on " + vm + " after the bound", guarded.started(vm) - before, is(0L));
+  }
+}
