--- a/measure/src/main/java/org/lentilsail/measure/fleet/Deployment.java
+++ b/measure/src/main/java/org/lentilsail/measure/fleet/Deployment.java
@@ -34,14 +34,18 @@
     };
   }
 
-  /** Returns this deployment with another number of VMs, spread evenly when it differs. */
+  /** Returns this deployment with another number of VMs, in proportion to the pools. */
   Deployment withSize(final int vms) {
-    final int[] sizes = pools.clone();
-    if (vms != size()) {
-      java.util.Arrays.fill(sizes, 0);
-      for (int i = 0; i < vms; i++) {
-        sizes[i % sizes.length]++;
+    final int[] sizes = new int[pools.length];
+    for (int i = 0; i < vms; i++) {
+      int next = 0;
+      for (int pool = 1; pool < pools.length; pool++) {
+        // Compares (sizes + 1) / pools without division.
+        if ((sizes[pool] + 1) * pools[next] < (sizes[next] + 1) * pools[pool]) {
+          next = pool;
+        }
       }
+      sizes[next]++;
     }
     return new Deployment(name, sizes, zones);
   }
--- a/measure/src/main/java/org/lentilsail/measure/fleet/FleetModel.java
+++ b/measure/src/main/java/org/lentilsail/measure/fleet/FleetModel.java
@@ -18,6 +18,7 @@
 import org.lentilsail.model.fleet.VmPhase;
 import org.lentilsail.model.record.Records;
 import org.lentilsail.model.time.PausedTime;
+import org.lentilsail.policy.capacity.MovePolicy;
 import org.lentilsail.policy.capacity.PolicyWeights;
 import org.lentilsail.policy.control.ControlRound;
 import org.lentilsail.policy.control.OperateAction;
@@ -39,6 +40,9 @@
   /** Clock of the model. */
   final PausedTime time = new PausedTime(1);
 
+  /** Weights of the metrics. */
+  PolicyWeights weights = PolicyWeights.equal();
+
   /** VMs by name. */
   final Map<String, ModelVm> vms = new TreeMap<>();
 
@@ -72,8 +76,16 @@
   /** Lists of the platform that are still to be seen. */
   private final Deque<List<VmObservation>> lists = new ArrayDeque<>();
 
+  /** Decides on moves, null for the product's rules. */
+  private final MovePolicy policy;
+
   FleetModel(final Records records, final List<ModelVm> all) {
+    this(records, all, null);
+  }
+
+  FleetModel(final Records records, final List<ModelVm> all, final MovePolicy policy) {
     this.records = records;
+    this.policy = policy;
     final Map<String, VmEntry> entries = new HashMap<>();
     for (final ModelVm vm : all) {
       vms.put(vm.name, vm);
@@ -100,18 +112,18 @@
       vm.responses = verifies ? vm.responses + (answers ? 1 : 0) : 0;
     }
     final long began = System.nanoTime();
+    final RoundInput input =
+        new RoundInput(
+            records,
+            document,
+            revision,
+            Optional.of(lists.getFirst()),
+            reports(),
+            Map.of(),
+            now(),
+            weights);
     final RoundResult result =
-        ControlRound.run(
-            new RoundInput(
-                records,
-                document,
-                revision,
-                Optional.of(lists.getFirst()),
-                reports(),
-                Map.of(),
-                now(),
-                PolicyWeights.equal()),
-            memory);
+        policy == null ? ControlRound.run(input, memory) : ControlRound.run(input, memory, policy);
     roundNanos = System.nanoTime() - began;
     account(result.document());
     if (!result.document().equals(document)) {
--- a/measure/src/main/java/org/lentilsail/measure/fleet/Samples.java
+++ b/measure/src/main/java/org/lentilsail/measure/fleet/Samples.java
@@ -15,6 +15,10 @@
     figures.computeIfAbsent(name, key -> new ArrayList<>()).add(value);
   }
 
+  void addAll(final Samples other) {
+    other.figures.forEach((name, values) -> values.forEach(value -> add(name, value)));
+  }
+
   void print(final String title) {
     System.out.printf(Locale.ROOT, "%s%n%-44s %12s %12s %12s%n", title, "", "min", "median", "max");
     figures.forEach(
--- a/measure/src/main/java/org/lentilsail/measure/fleet/WavesCommand.java
+++ b/measure/src/main/java/org/lentilsail/measure/fleet/WavesCommand.java
@@ -19,15 +19,18 @@
     final Deployment deployment = Deployment.named(Arguments.text(args, "--deployment", "paseos"));
     final long seed = Arguments.number(args, "--seed", 1);
     final int seeds = (int) Arguments.number(args, "--seeds", 5);
+    final boolean loaded = "on".equals(Arguments.text(args, "--load", "off"));
     final Samples samples = new Samples();
     for (long next = seed; next < seed + seeds; next++) {
-      measure(deployment, next, samples);
+      measure(deployment, next, loaded, samples);
     }
-    samples.print("waves " + deployment.name() + ", " + seeds + " seeds from " + seed);
+    final String with = loaded ? " with demand and faults" : "";
+    samples.print("waves " + deployment.name() + with + ", " + seeds + " seeds from " + seed);
     return 0;
   }
 
-  private static void measure(final Deployment deployment, final long seed, final Samples samples) {
+  private static void measure(
+      final Deployment deployment, final long seed, final boolean loaded, final Samples samples) {
     final FleetModel model =
         new FleetModel(deployment.records(true), deployment.vms(new Random(seed)));
     double bound = 0;
@@ -42,8 +45,15 @@
       bound = Math.max(bound, work / Deployment.BUDGET);
       oneByOne += work;
     }
+    final DemandCurve curve =
+        new DemandCurve(deployment, seed, (int) (LIMIT_MILLIS / FleetModel.TICK_MILLIS));
+    int tick = 0;
     long finished = 0;
     while (finished == 0 && model.now() < LIMIT_MILLIS) {
+      if (loaded) {
+        curve.apply(model, tick);
+      }
+      tick++;
       model.tick();
       final WaveProgress wave = model.document.waves().get("w");
       finished = wave == null ? 0 : wave.finishedMillis();
--- a/policy/src/main/java/org/lentilsail/policy/control/ControlRound.java
+++ b/policy/src/main/java/org/lentilsail/policy/control/ControlRound.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.lentilsail.model.fleet.FleetDocument;
 import org.lentilsail.model.fleet.WaveProgress;
+import org.lentilsail.policy.capacity.MovePolicy;
 import org.lentilsail.policy.capacity.MoveRules;
 import org.lentilsail.policy.fleet.FleetView;
 import org.lentilsail.policy.wave.WaveRules;
@@ -21,6 +22,22 @@
    * @return the new document and the actions to carry out after it has been written
    */
   public static RoundResult run(final RoundInput input, final RoundMemory memory) {
+    return run(
+        input,
+        memory,
+        (view, reports) -> new MoveRules(view, memory.demand(), input.weights()).apply(reports));
+  }
+
+  /**
+   * Runs one round with another way to decide on moves; measurements compare such ways.
+   *
+   * @param input the inputs
+   * @param memory what the holder remembers; a new holder passes a new one
+   * @param moves decides on moves between pools
+   * @return the new document and the actions to carry out after it has been written
+   */
+  public static RoundResult run(
+      final RoundInput input, final RoundMemory memory, final MovePolicy moves) {
     final FleetDocument old = input.document();
     memory.observe(old, input.revision(), input.nowMillis());
     final FleetView view =
@@ -32,7 +49,7 @@
     waves.settle();
     view.openAccounts();
     holds.start();
-    new MoveRules(view, memory.demand(), input.weights()).apply(input.reports());
+    moves.apply(view, input.reports());
     final Map<String, WaveProgress> progress = waves.apply();
     final FleetDocument document =
         new FleetDocument(old.epoch(), old.holder(), view.vms(), progress);
