Move VMs ahead of the peak when the order of peaks is known

Cause: at a turn of demand the next pool is short until VMs have moved, so a larger fleet is needed for the same service.

Change: PeakOrder learns which pool follows which, and the height of each peak. While the confidence holds, VMs that no pool needs move to the expected pool when the expected gain exceeds the expected cost by the weights. A pool that is short takes from the expected pool last.

--- a/policy/src/main/java/org/lentilsail/policy/capacity/DemandMemory.java
+++ b/policy/src/main/java/org/lentilsail/policy/capacity/DemandMemory.java
@@ -30,6 +30,9 @@
   /** Needs of the pools that have services, by pool. */
   private final Map<String, PoolNeed> needs = new TreeMap<>();
 
+  /** Order in which the pools have their peaks. */
+  private final PeakOrder peaks = new PeakOrder();
+
   /** Wall clock time of the last update, 0 before the first. */
   private long updatedMillis;
 
@@ -67,6 +70,7 @@
             .update(need(spec, pool.getValue()), nowMillis, windowMillis);
       }
     }
+    peaks.update(needs);
   }
 
   private static Map<String, Double> reported(final List<HeardReport> reports) {
@@ -101,4 +105,13 @@
   Map<String, PoolNeed> needs() {
     return needs;
   }
+
+  /**
+   * Returns the order in which the pools have their peaks.
+   *
+   * @return the order as far as it is known
+   */
+  PeakOrder peaks() {
+    return peaks;
+  }
 }
--- a/policy/src/main/java/org/lentilsail/policy/capacity/MoveRules.java
+++ b/policy/src/main/java/org/lentilsail/policy/capacity/MoveRules.java
@@ -18,6 +18,9 @@
   /** Cost of a move in VM-seconds of shortage: a VM is out for about this long on its way. */
   private static final double MOVE_COST_VM_SECONDS = 4;
 
+  /** Shortage in VM-seconds that a VM spares a pool when it is there before the peak. */
+  private static final double EARLY_GAIN_VM_SECONDS = 8;
+
   /** Time in ms for which a need is remembered when moves and waiting weigh the same. */
   private static final double WINDOW_MILLIS = 20_000;
 
@@ -76,8 +79,9 @@
       }
     }
     shortPools.sort(Comparator.comparingDouble(pool -> -demand.needs().get(pool).shortVmSeconds()));
-    shortPools.forEach(this::fill);
+    shortPools.forEach(pool -> fill(pool, demand.needs().get(pool).now() - has(pool), ""));
     if (shortPools.isEmpty()) {
+      prepare();
       giveBack();
     }
   }
@@ -102,13 +106,14 @@
             || vm.purpose() != DrainPurpose.LEAVING && vm.purpose() != DrainPurpose.OPERATOR);
   }
 
-  /** Brings VMs into a pool until it has what it needs or no donor is left. */
-  private void fill(final String pool) {
-    final int wanted = demand.needs().get(pool).now() - has(pool);
+  /** Brings VMs into a pool until it has those it wants or no donor is left. */
+  private void fill(final String pool, final int wanted, final String exempt) {
+    final String expected = demand.peaks().expected();
     final List<String> donors = new ArrayList<>(candidates.keySet());
-    donors.removeIf(donor -> donor.equals(pool) || surplus(donor) <= 0);
+    donors.removeIf(donor -> donor.equals(pool) || donor.equals(exempt) || surplus(donor) <= 0);
     donors.sort(
         Comparator.<String, Boolean>comparing(donor -> !spare(donor))
+            .thenComparing(donor -> donor.equals(expected))
             .thenComparing(donor -> -surplus(donor)));
     int left = wanted;
     for (final String donor : donors) {
@@ -118,6 +123,17 @@
     }
   }
 
+  /** Brings VMs that no pool needs into the pool that is expected to have the next peak. */
+  private void prepare() {
+    final String pool = demand.peaks().expected();
+    final double hit = demand.peaks().confidence();
+    final double gain = hit * EARLY_GAIN_VM_SECONDS * weights.waitingTime();
+    final double loss = (1 - hit) * MOVE_COST_VM_SECONDS * weights.moves();
+    if (demand.needs().containsKey(pool) && gain > loss) {
+      fill(pool, demand.peaks().height(pool) - has(pool), demand.peaks().peak());
+    }
+  }
+
   private void giveBack() {
     final String spare =
         view.records().pools().values().stream()
