--- a/policy/src/main/java/org/lentilsail/policy/capacity/DemandMemory.java
+++ b/policy/src/main/java/org/lentilsail/policy/capacity/DemandMemory.java
@@ -13,7 +13,7 @@
 /** Smoothed demand of the services and what the pools need for it. */
 public final class DemandMemory {
   /** Time in ms over which a rise of demand is smoothed; short, since waiting work adds up. */
-  private static final double RISE_MILLIS = 500;
+  private static final double RISE_MILLIS = 2_000;
 
   /** Time in ms over which a fall of demand is smoothed. */
   private static final double FALL_MILLIS = 10_000;
--- a/policy/src/main/java/org/lentilsail/policy/capacity/MoveRules.java
+++ b/policy/src/main/java/org/lentilsail/policy/capacity/MoveRules.java
@@ -16,7 +16,7 @@
 /** Moves VMs to pools that are short of them, and back to the spare pool after a long surplus. */
 public final class MoveRules {
   /** Cost of a move in VM-seconds of shortage: a VM is out for about this long on its way. */
-  private static final double MOVE_COST_VM_SECONDS = 2;
+  private static final double MOVE_COST_VM_SECONDS = 4;
 
   /** Shortage in VM-seconds that a VM spares a pool when it is there before the peak. */
   private static final double EARLY_GAIN_VM_SECONDS = 8;
