Answer forwarded keyed requests before a daemon stops

Cause: a stop waited for the requests of the daemon's own callers only. A keyed request that a peer had forwarded to the owner of its key was cut off, and its caller got unknown although the backend server ran it. Change: KeyedRunner.idle() waits for forwarded requests after the terms are given up. The owner of a key also ends up to 50 ms before the forwarding daemon stops waiting, so that its outcome arrives.

--- a/daemon/src/main/java/org/lentilsail/daemon/TrafficParts.java
+++ b/daemon/src/main/java/org/lentilsail/daemon/TrafficParts.java
@@ -21,6 +21,9 @@
   /** Terms of the idempotency keys that this daemon owns. */
   private final KeyParts keys;
 
+  /** Runs keyed requests of callers and peers. */
+  private final KeyedRunner keyed;
+
   /** The HTTP server for callers. */
   private final EntryServer server;
 
@@ -46,7 +49,7 @@
     final long memoryMillis = TimeUnit.MINUTES.toMillis(shared.settings().keyMemoryMinutes());
     final KeyTable table = new KeyTable(memoryMillis, KEPT_RESPONSE_BYTES);
     keys = new KeyParts(shared, table);
-    final KeyedRunner keyed =
+    keyed =
         new KeyedRunner(executor, table, shared.configuration(), shared.network(), shared.time());
     server =
         new EntryServer(
@@ -68,14 +71,16 @@
   }
 
   /**
-   * Ends the service without cutting off a request, and gives up the key terms afterwards.
+   * Ends the service without cutting off a request, gives up the key terms afterwards, and answers
+   * the keyed requests that peers have forwarded.
    *
    * @return completes when no request is in flight and the terms are given up
    */
   CompletableFuture<Void> stop() {
     return server
         .stopGracefully(shared.settings().drainGraceMillis())
-        .thenCompose(ended -> keys.stop());
+        .thenCompose(ended -> keys.stop())
+        .thenCompose(ended -> keyed.idle());
   }
 
   void close() {
--- a/library/src/main/java/org/lentilsail/idempotency/KeyedRunner.java
+++ b/library/src/main/java/org/lentilsail/idempotency/KeyedRunner.java
@@ -8,7 +8,9 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.lentilsail.config.ConfigurationView;
@@ -27,6 +29,12 @@
  * so that a repeat of the key gets the outcome.
  */
 public final class KeyedRunner implements RequestRunner, KeySource {
+  /**
+   * Time in ms by which the owner ends before this daemon stops waiting, so that the owner's
+   * outcome arrives instead of a time-out; the one-way latency between zones is about 1 ms.
+   */
+  private static final long HOP_MILLIS = 50;
+
   /** Runs requests on workers. */
   private final RequestRunner workers;
 
@@ -42,6 +50,9 @@
   /** Clocks. */
   private final TimeSource time;
 
+  /** One future for each request of a peer that is not answered yet. */
+  private final Set<CompletableFuture<Void>> forwarded = ConcurrentHashMap.newKeySet();
+
   /**
    * Creates a runner and registers its messages; call it before the network starts.
    *
@@ -62,10 +73,7 @@
     this.configuration = configuration;
     this.network = network;
     this.time = time;
-    network.handle(
-        "keyed-request",
-        KeyedRequest.class,
-        (from, message) -> runHere(message.toRequest(time.nanos())).thenApply(KeyedAnswer::of));
+    network.handle("keyed-request", KeyedRequest.class, (from, message) -> answerPeer(message));
     network.handle("keyed-answer", KeyedAnswer.class, (from, message) -> null);
   }
 
@@ -99,6 +107,32 @@
     return result;
   }
 
+  /**
+   * Waits for the requests that peers have forwarded so far; a stop that does not would cut them
+   * off, because the server for callers does not count them. Call it when the terms are given up.
+   *
+   * @return completes when the answers have been given to the network
+   */
+  public CompletableFuture<Void> idle() {
+    return CompletableFuture.allOf(forwarded.toArray(CompletableFuture[]::new));
+  }
+
+  private CompletableFuture<KeyedAnswer> answerPeer(final KeyedRequest message) {
+    final CompletableFuture<KeyedAnswer> answer =
+        runHere(message.toRequest(time.nanos())).thenApply(KeyedAnswer::of);
+    if (!answer.isDone()) {
+      final CompletableFuture<Void> ended = new CompletableFuture<>();
+      forwarded.add(ended);
+      // Actions run in reverse order of registration, so the network's action comes before.
+      answer.whenComplete(
+          (done, error) -> {
+            forwarded.remove(ended);
+            ended.complete(null);
+          });
+    }
+    return answer;
+  }
+
   private CompletableFuture<EntryResponse> runHere(final EntryRequest request) {
     final IdempotencyKey key = IdempotencyKey.parse(request.key()).orElseThrow();
     final KeyDecision decision = table.admit(key, fingerprint(request), time.wallMillis());
@@ -133,7 +167,7 @@
           network
               .request(
                   term.daemon(),
-                  KeyedRequest.of(request, remaining),
+                  KeyedRequest.of(request, remaining - Math.min(HOP_MILLIS, remaining / 2)),
                   Duration.ofMillis(remaining),
                   KeyedAnswer.class)
               .thenApply(KeyedAnswer::toResponse)
--- /dev/null
+++ b/library/src/test/java/org/lentilsail/idempotency/KeyedRunnerTest.java
@@ -0,0 +1,161 @@
+package org.lentilsail.idempotency;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.lentilsail.config.ConfigurationSnapshot;
+import org.lentilsail.config.ConfigurationView;
+import org.lentilsail.config.KeyTerm;
+import org.lentilsail.entry.EntryRequest;
+import org.lentilsail.entry.EntryResponse;
+import org.lentilsail.entry.Outcome;
+import org.lentilsail.model.time.TimeSource;
+import org.lentilsail.peer.PeerUnreachableException;
+
+/** Guards the way of a keyed request to the owner of its key and back (P4, P5, P7). */
+class KeyedRunnerTest {
+  private static final Duration DEADLINE = Duration.ofSeconds(10);
+
+  private final TimeSource time = TimeSource.system();
+  private final StubNetwork network = new StubNetwork();
+  private final KeyTable table = new KeyTable(3_600_000, 1_000_000);
+  private final List<CompletableFuture<EntryResponse>> runs = new ArrayList<>();
+  private final KeyedRunner runner =
+      new KeyedRunner(this::runOnWorker, table, new OwnedElsewhere(), network, time);
+  private final IdempotencyKey key = IdempotencyKey.create(time.wallMillis(), new Random(1));
+
+  /** Guards against a second run of a key that is repeated while its first attempt runs. */
+  @Test
+  void repeatsAtTheOwnerShareOneRun() {
+    own();
+    final CompletableFuture<EntryResponse> first = runner.run(request());
+    final CompletableFuture<EntryResponse> repeat = runner.run(request());
+    assertThat(runs, hasSize(1));
+    runs.get(0).complete(ran());
+    assertThat(first.join().outcome(), is(Outcome.RAN));
+    assertThat(repeat.join().outcome(), is(Outcome.RAN));
+  }
+
+  /** Guards against a forwarded request that also runs here, or whose answer is changed. */
+  @Test
+  void forwardsToTheOwnerAndPassesItsAnswerOn() {
+    final CompletableFuture<EntryResponse> result = runner.run(request());
+    network.reply.complete(KeyedAnswer.of(ran()));
+    assertThat(runs, hasSize(0));
+    assertThat(result.join().outcome(), is(Outcome.RAN));
+    assertThat(new String(result.join().body(), StandardCharsets.UTF_8), is("done"));
+  }
+
+  /** Guards against not-run for a request that its owner may have run before it died. */
+  @Test
+  void anOwnerThatDiesInBetweenLeavesTheOutcomeUnknown() {
+    final CompletableFuture<EntryResponse> result = runner.run(request());
+    network.reply.completeExceptionally(new PeerUnreachableException("owner", true, "it died"));
+    assertThat(result.join().outcome(), is(Outcome.UNKNOWN));
+    assertThat(bodyOf(result), containsString("key-owner-unreachable"));
+  }
+
+  /** Guards against a wait for an owner that is known to be dead or to be a later incarnation. */
+  @Test
+  void deadAndRestartedOwnersAreNotAsked() {
+    network.ownerLive = false;
+    assertThat(runner.run(request()).join().outcome(), is(Outcome.UNKNOWN));
+    network.ownerLive = true;
+    network.ownerIncarnation = 8;
+    assertThat(runner.run(request()).join().outcome(), is(Outcome.UNKNOWN));
+    assertThat(network.sent == null, is(true));
+  }
+
+  /** Guards against a time-out of the forwarding daemon that hides the owner's outcome. */
+  @Test
+  void theOwnerEndsBeforeTheForwardingDaemonStopsWaiting() {
+    runner.run(request());
+    assertThat(network.sent.remainingMillis(), lessThan(network.timeout.toMillis()));
+    assertThat(network.timeout.toMillis(), lessThan(DEADLINE.toMillis() + 1));
+  }
+
+  /** Guards against a planned stop that cuts off the requests that peers have forwarded. */
+  @Test
+  void isIdleOnlyWhenForwardedRequestsAreAnswered() {
+    own();
+    final CompletableFuture<?> answer =
+        network.keyedRequests.handle("peer", KeyedRequest.of(request(), 1_000));
+    final CompletableFuture<Void> idle = runner.idle();
+    assertThat(idle.isDone(), is(false));
+    runs.get(0).complete(ran());
+    assertThat(answer.isDone(), is(true));
+    assertThat(idle.isDone(), is(true));
+  }
+
+  /** Guards against keys of ranges that another daemon owns. */
+  @Test
+  void createsOnlyKeysOfOwnRanges() {
+    assertThat(runner.keys(3), hasSize(0));
+    own();
+    final List<String> keys = runner.keys(3);
+    assertThat(keys, hasSize(3));
+    keys.forEach(
+        text -> assertThat(IdempotencyKey.parse(text).orElseThrow().range(), is(key.range())));
+  }
+
+  private void own() {
+    table.grant(key.range(), key.millis() - 1_000, key.millis() + 3_600_000);
+  }
+
+  private CompletableFuture<EntryResponse> runOnWorker(final EntryRequest request) {
+    final CompletableFuture<EntryResponse> result = new CompletableFuture<>();
+    runs.add(result);
+    return result;
+  }
+
+  private EntryRequest request() {
+    return new EntryRequest(
+        "tee",
+        "POST",
+        "/",
+        List.of(),
+        new byte[0],
+        key.uuid().toString(),
+        "",
+        false,
+        0,
+        time.nanos() + DEADLINE.toNanos());
+  }
+
+  private static EntryResponse ran() {
+    return new EntryResponse(Outcome.RAN, 200, List.of(), "done".getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static String bodyOf(final CompletableFuture<EntryResponse> response) {
+    return new String(response.join().body(), StandardCharsets.UTF_8);
+  }
+
+  /** Configuration in which the daemon {@code owner} owns all keys. */
+  private static final class OwnedElsewhere implements ConfigurationView {
+    @Override
+    public ConfigurationSnapshot current() {
+      final ConfigurationSnapshot empty = ConfigurationSnapshot.empty();
+      final Map<Integer, KeyTerm> terms = new HashMap<>();
+      for (int range = 0; range < IdempotencyKey.RANGES; range++) {
+        terms.put(range, new KeyTerm(range, "owner", 7, 0, Long.MAX_VALUE));
+      }
+      return new ConfigurationSnapshot(1, empty.records(), empty.fleet(), 1, terms);
+    }
+
+    @Override
+    public void onChange(final Consumer<ConfigurationSnapshot> listener) {}
+  }
+}
--- a/standin/src/test/java/org/lentilsail/standin/load/JudgeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/load/JudgeTest.java
@@ -1,10 +1,13 @@
 package org.lentilsail.standin.load;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
 import java.util.Collections;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.lentilsail.standin.backend.JournalEntry;
@@ -40,4 +43,16 @@
             .size(),
         is(faults));
   }
+
+  /** Guards against blaming a refusal that a later try of the same key made good. */
+  @Test
+  void onlyTheLastOutcomeCounts() {
+    final Try refused = new Try("a", "k", "not-run", 503, false);
+    final Try ran = new Try("a", "k", "ran", 200, true);
+    final List<JournalEntry> journal = List.of(new JournalEntry(1, "k", "a", 1, RunState.FINISHED));
+    assertThat(Judge.faults(List.of(refused, ran), journal), empty());
+    assertThat(
+        Judge.faults(List.of(ran, refused), journal),
+        contains("request a was reported as not-run and ran"));
+  }
 }
--- /dev/null
+++ b/system/src/test/java/org/lentilsail/system/Journals.java
@@ -0,0 +1,29 @@
+package org.lentilsail.system;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.lentilsail.standin.backend.JournalEntry;
+import org.lentilsail.standin.backend.JournalView;
+
+/** Reads what the backend servers ran. */
+final class Journals {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private Journals() {}
+
+  static List<JournalEntry> read(final LocalFleet fleet) throws IOException {
+    final List<JournalEntry> result = new ArrayList<>();
+    for (final int port : fleet.addresses().backends().values()) {
+      final byte[] body =
+          fleet
+              .web()
+              .send(port, "GET", "/standin/journal", List.of(), "", Duration.ofSeconds(20))
+              .body();
+      result.addAll(JSON.readValue(body, JournalView.class).entries());
+    }
+    return result;
+  }
+}
