State unknown when a daemon cannot judge a keyed request

Cause: a daemon without configuration, such as one that has just restarted, refused a keyed request with not-run although an earlier attempt with the key had run through another daemon. The outcome covers all attempts with a key. Change: refusals that depend on the state of the daemon only (no configuration, service not found, stopping) are unknown for keyed requests. Conclusion: not-run for a key comes only from the owner or from faults of the request itself.

--- a/library/src/main/java/org/lentilsail/entry/EntryHandler.java
+++ b/library/src/main/java/org/lentilsail/entry/EntryHandler.java
@@ -17,6 +17,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
@@ -59,6 +60,10 @@
   /** Clocks. */
   private final TimeSource time;
 
+  /** Refusals that depend on the state of this daemon, not on the request alone. */
+  private static final Set<ErrorCode> REFUSED_HERE_ONLY =
+      Set.of(ErrorCode.NO_CONFIGURATION, ErrorCode.NOT_FOUND, ErrorCode.STOPPING);
+
   /** Tells how far the stop has come. */
   private final StopState stop;
 
@@ -129,11 +134,22 @@
         response = runner.run(request);
       }
     } catch (final LentilsailException refusal) {
-      response = CompletableFuture.completedFuture(Refusals.of(refusal, Outcome.NOT_RUN));
+      response =
+          CompletableFuture.completedFuture(Refusals.of(refusal, outcome(exchange, refusal)));
     }
     follow(exchange, response, label, startNanos);
   }
 
+  /**
+   * The outcome of a keyed request covers all attempts. When only the state of this daemon stands
+   * against the request, an earlier attempt may have run through another daemon.
+   */
+  private static Outcome outcome(
+      final HttpServerExchange exchange, final LentilsailException refusal) {
+    final boolean keyed = exchange.getRequestHeaders().contains("Idempotency-Key");
+    return keyed && REFUSED_HERE_ONLY.contains(refusal.code()) ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+  }
+
   private void follow(
       final HttpServerExchange exchange,
       final CompletableFuture<EntryResponse> response,
--- a/library/src/test/java/org/lentilsail/entry/EntryServerTest.java
+++ b/library/src/test/java/org/lentilsail/entry/EntryServerTest.java
@@ -64,6 +64,19 @@
     }
   }
 
+  /** Guards against not-run for a keyed request that may have run through another daemon. */
+  @Test
+  void daemonWithoutConfigurationDoesNotKnowTheOutcomeOfKeys() throws Exception {
+    try (EntryFixture entry = new EntryFixture()) {
+      final HttpResponse<String> keyed =
+          entry.send(
+              "POST", "/tee/x", "", "Idempotency-Key", "01a2409d-1e1b-7b70-9a42-f32812626abf");
+      assertThat(keyed.body(), containsString("no-configuration"));
+      assertThat(EntryFixture.outcome(keyed), is("unknown"));
+      assertThat(EntryFixture.outcome(entry.send("POST", "/tee/x", "")), is("not-run"));
+    }
+  }
+
   /** Guards against refusals without code or with the wrong outcome. */
   @ParameterizedTest
   @CsvSource({
