See a rise of short work within a tenth of a second

Cause: the reserve of short work followed its arrivals with a time constant of 0.5 s. Long work that arrived in the first half second of a peak took slots for seconds, so that the pool was full for the peak, the more so when a worker was lost in it.

Change: the time constant is 0.1 s.

Broken on purpose: the constant at 0.5 s fails ShortLoadTest.seesRiseOfShortWorkWithinFractionOfSecond.

--- a/policy/src/main/java/org/lentilsail/policy/dispatch/ShortLoad.java
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/ShortLoad.java
@@ -2,8 +2,11 @@
 
 /** Estimates how many slots short work needs, from the arrivals of the last moments. */
 final class ShortLoad {
-  /** Time constant in ns; shorter than a peak's rise to its height, longer than most short work. */
-  private static final double WINDOW_NANOS = 0.5e9;
+  /**
+   * Time constant in ns, longer than most short work. Long work that starts before a peak is seen
+   * holds its slots for most of the peak; at 0.5 s it took a tenth of a small pool.
+   */
+  private static final double WINDOW_NANOS = 0.1e9;
 
   /**
    * Slots kept free for chance arrivals, in standard deviations of the slots in use. The number in
