Avoid a zone that the caller's zone does not reach

Cause: with a zone cut off, each of its workers was found out by its own failures, 8 requests at a time; requests failed on 3 unreachable workers and were lost, and the workers stayed withdrawn for seconds after the zone was back.

Change: failures on 2 workers of another zone in a row close the way between the two zones, except for one trial request each 250 ms. Such failures do not count against the workers, and long work is limited by the slots that all zones reach.

Broken on purpose: see ZoneReachTest: 3 workers to close, failures counted against workers, no use of zones without a way, the own zone closed, no pause between trials. Run: verify of policy and the dispatcher tests of library; not all of library.

--- a/policy/src/main/java/org/lentilsail/policy/dispatch/ServiceDispatcher.java
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/ServiceDispatcher.java
@@ -172,8 +172,8 @@
       final DemandId id, final UseResult result, final long runNanos, final long nowNanos) {
     final Running use = running.end(id);
     if (use != null) {
-      pool.ended(use.worker, result, nowNanos);
       final Demand demand = use.demand;
+      pool.ended(demand, use.worker, result, nowNanos);
       // The slot is taken from the grant to the release, so that is what a run costs.
       final long heldNanos = Math.max(runNanos, nowNanos - use.startedNanos);
       if (result == UseResult.OK) {
@@ -280,7 +280,7 @@
   /** Returns the slots that long work may hold, which leaves short work what it needs. */
   private int longLimit(final long nowNanos) {
     final int minimum = Math.max(1, pool.capacity() / LONG_MINIMUM_DIVISOR);
-    return Math.max(minimum, pool.capacity() - shortLoad.slots(nowNanos));
+    return Math.max(minimum, pool.reachedCapacity() - shortLoad.slots(nowNanos));
   }
 
   private boolean startOne(final Lane lane, final boolean urgentOnly, final long nowNanos) {
@@ -288,7 +288,7 @@
     boolean started = false;
     if (lane.size() > 0 && pool.free(longWork)) {
       for (final Waiting entry : lane.heads(urgentOnly, MAX_TRIED)) {
-        final Worker worker = pool.find(entry.demand, longWork);
+        final Worker worker = pool.find(entry.demand, longWork, nowNanos);
         if (worker != null) {
           start(entry, worker, longWork, nowNanos);
           started = true;
@@ -306,6 +306,7 @@
         new Running(entry.demand, worker, entry.lane, nowNanos, entry.expectedNanos);
     use.longWork = longWork;
     running.start(use);
+    pool.granted(entry.demand, worker, nowNanos);
     listener.granted(entry.demand.id(), worker.vm);
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/dispatch/WorkerIndex.java
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/WorkerIndex.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntPredicate;
 
 /**
  * Finds the free worker with the fewest slots in use in a time that does not depend on the number
@@ -79,33 +80,39 @@
 
   /**
    * Finds a worker for a demand. Short work that is not urgent goes to a worker on trial first, as
-   * only requests can prove that the worker works again; other work goes there last.
+   * only requests can prove that the worker works again; other work goes there last. Only zones
+   * that the predicate admits are used.
    */
-  Worker find(final Demand demand, final int zone, final boolean longWork) {
+  Worker find(
+      final Demand demand, final int zone, final boolean longWork, final IntPredicate mayTry) {
     final Set<String> excluded = demand.excludedVms();
     Worker result = null;
     if (!longWork && !demand.urgent()) {
-      result = find(TRIAL, zone, excluded);
+      result = find(TRIAL, zone, excluded, mayTry);
     }
     if (result == null) {
-      result = find(longWork ? LONG : SHORT, zone, excluded);
+      result = find(longWork ? LONG : SHORT, zone, excluded, mayTry);
     }
     if (result == null) {
-      result = find(TRIAL, zone, excluded);
+      result = find(TRIAL, zone, excluded, mayTry);
     }
     if (result == null) {
-      result = find(SUSPECT, zone, excluded);
+      result = find(SUSPECT, zone, excluded, mayTry);
     }
     return result;
   }
 
-  private Worker find(final int kind, final int zone, final Set<String> excluded) {
+  private Worker find(
+      final int kind, final int zone, final Set<String> excluded, final IntPredicate mayTry) {
     Worker result = null;
     if (sizes[kind] > 0) {
       final List<WorkerBucket> candidates = buckets.get(kind);
       for (int level = 0; level < Worker.SLOTS && result == null; level++) {
         for (int i = 0; i < zones && result == null; i++) {
-          result = candidates.get((zone + i) % zones * Worker.SLOTS + level).find(excluded);
+          final int candidate = (zone + i) % zones;
+          if (mayTry.test(candidate)) {
+            result = candidates.get(candidate * Worker.SLOTS + level).find(excluded);
+          }
         }
       }
     }
--- a/policy/src/main/java/org/lentilsail/policy/dispatch/WorkerPool.java
+++ b/policy/src/main/java/org/lentilsail/policy/dispatch/WorkerPool.java
@@ -26,6 +26,9 @@
   /** Health of the workers. */
   private final ServiceHealth health;
 
+  /** Zones that daemons of other zones do not reach. */
+  private final ZoneReach reach = new ZoneReach();
+
   /** Workers that failed at the last look. */
   private List<String> failing = List.of();
 
@@ -80,12 +83,32 @@
     return workers.get(vm);
   }
 
-  Worker find(final Demand demand, final boolean longWork) {
+  Worker find(final Demand demand, final boolean longWork, final long nowNanos) {
+    final int zone = zoneOf(demand);
     return index.free(longWork)
-        ? index.find(demand, zones.getOrDefault(demand.availabilityZone(), 0), longWork)
+        ? index.find(demand, zone, longWork, to -> mayTry(zone, to, nowNanos))
         : null;
   }
 
+  private int zoneOf(final Demand demand) {
+    return zones.getOrDefault(demand.availabilityZone(), 0);
+  }
+
+  /** Tells whether a zone may be used; when no zone has an open way, all are used. */
+  private boolean mayTry(final int from, final int to, final long nowNanos) {
+    return reach.allOpen() || reach.mayTry(from, to, nowNanos) || !someUsable(from, nowNanos);
+  }
+
+  private boolean someUsable(final int from, final long nowNanos) {
+    return workers.values().stream()
+        .anyMatch(worker -> worker.capacity > 0 && reach.mayTry(from, worker.zone, nowNanos));
+  }
+
+  /** Notes that a demand gets a slot of a worker. */
+  void granted(final Demand demand, final Worker worker, final long nowNanos) {
+    reach.taken(zoneOf(demand), worker.zone, nowNanos);
+  }
+
   boolean free(final boolean longWork) {
     return index.free(longWork);
   }
@@ -110,9 +133,15 @@
     }
   }
 
-  void ended(final Worker worker, final UseResult result, final long nowNanos) {
-    if (workers.get(worker.vm) == worker && result != UseResult.NEUTRAL) {
-      final boolean failed = result == UseResult.FAILED;
+  void ended(
+      final Demand demand, final Worker worker, final UseResult result, final long nowNanos) {
+    final int from = zoneOf(demand);
+    final boolean failed = result == UseResult.FAILED;
+    final boolean wayFails = failed && reach.failed(from, worker, nowNanos);
+    if (result == UseResult.OK) {
+      reach.succeeded(from, worker.zone);
+    }
+    if (workers.get(worker.vm) == worker && result != UseResult.NEUTRAL && !wayFails) {
       final boolean changes = failed || worker.suspect;
       if (failed) {
         health.failed(worker.vm, nowNanos);
@@ -184,6 +213,16 @@
     return capacity;
   }
 
+  /** Returns the slots of the workers that every zone reaches. */
+  int reachedCapacity() {
+    return reach.allOpen()
+        ? capacity
+        : workers.values().stream()
+            .filter(worker -> !reach.cutOff(worker.zone))
+            .mapToInt(worker -> worker.capacity)
+            .sum();
+  }
+
   int busy() {
     return busy;
   }
--- /dev/null
+++ b/policy/src/test/java/org/lentilsail/policy/dispatch/ZoneReachTest.java
@@ -0,0 +1,85 @@
+package org.lentilsail.policy.dispatch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the rule that a zone which the caller's zone does not reach is avoided as a whole. */
+class ZoneReachTest {
+  /** One millisecond in ns. */
+  private static final long MILLI = 1_000_000L;
+
+  /** The dispatcher under test, with a worker in each of the zones z1 and z2. */
+  private final DispatcherFixture fixture = new DispatcherFixture(2);
+
+  /** Adds two workers in z3. */
+  @BeforeEach
+  void addZone() {
+    fixture.dispatcher.putWorker("w3", "z3", WorkerMode.OPEN, 0);
+    fixture.dispatcher.putWorker("w4", "z3", WorkerMode.OPEN, 0);
+  }
+
+  private void failZone(final int perWorker) {
+    fixture.ask(32, "/s");
+    for (int i = 0; i < perWorker; i++) {
+      List.of("w3", "w4").forEach(this::failOne);
+    }
+  }
+
+  private void failOne(final String vm) {
+    final long number =
+        fixture.granted.keySet().stream()
+            .filter(granted -> vm.equals(fixture.granted.get(granted)))
+            .findFirst()
+            .orElseThrow();
+    fixture.dispatcher.release(fixture.id(number), UseResult.FAILED, MILLI, fixture.now);
+    fixture.granted.remove(number);
+  }
+
+  /** Guards against requests that are lost one by one on each worker of a zone that is cut off. */
+  @Test
+  void avoidsZoneWhenSeveralOfItsWorkersFail() {
+    failZone(1);
+    fixture.askFrom(101, 110, "/s");
+    assertThat(fixture.startedBetween(101, 110), is(0L));
+  }
+
+  /** Guards against workers that stay withdrawn for seconds after the way to them is back. */
+  @Test
+  void doesNotBlameTheWorkersForTheWay() {
+    failZone(8);
+    assertThat(fixture.dispatcher.unhealthyVms(), not(hasItem("w4")));
+    fixture.now = 300 * MILLI;
+    fixture.askFrom(101, 110, "/s");
+    assertThat(fixture.startedBetween(101, 110), is(1L));
+    fixture.release(101);
+    assertThat(fixture.startedBetween(101, 110), is(10L));
+  }
+
+  /** Guards against a zone that is closed to the daemons that reach it. */
+  @Test
+  void closesOnlyTheWayThatFails() {
+    failZone(8);
+    fixture.dispatcher.submit(
+        new Demand(fixture.id(200), "z3", "/s", "", true, 0, 60_000 * MILLI, Set.of()), 0);
+    assertThat(fixture.granted.containsKey(200L), is(true));
+  }
+
+  /** Guards against a service without any worker because all ways seem closed. */
+  @Test
+  void usesEveryZoneWhenNoneIsReached() {
+    failZone(8);
+    fixture.dispatcher.removeWorker("w1", 0);
+    fixture.dispatcher.removeWorker("w2", 0);
+    fixture.askFrom(101, 101, "/s");
+    assertThat(fixture.startedBetween(101, 101), is(1L));
+    assertThat(fixture.refused.keySet(), empty());
+  }
+}
