Refuse requests before the listener closes, and use small buffers for message heads

Cause: between closing the listener and refusing, a request on an open connection was still taken after new connections were refused; EntryServerTest.stopLetsRequestsEnd hung on that. Two wave tests watched budgets while newly joined VMs still verified. A third of all allocation was one buffer of 8 KB for each message. Change: refusal comes first; the wave tests wait until all VMs are in service; heads use 128 bytes.

--- a/library/src/main/java/org/lentilsail/entry/EntryServer.java
+++ b/library/src/main/java/org/lentilsail/entry/EntryServer.java
@@ -149,7 +149,8 @@
   }
 
   private void refuse() {
-    IoUtils.safeClose(listener);
+    // In this order, no request on an open connection is taken once connections are refused.
     stop.refuse();
+    IoUtils.safeClose(listener);
   }
 }
--- a/library/src/main/java/org/lentilsail/peer/PeerCodec.java
+++ b/library/src/main/java/org/lentilsail/peer/PeerCodec.java
@@ -35,6 +35,13 @@
   /** Field with the content of the message; always the last one. */
   private static final String CONTENT = "content";
 
+  /** Size in bytes of the buffer for a head; the default of 8 KB was a third of all allocation. */
+  private static final int HEAD_BYTES = 128;
+
+  /** Creates packers for heads. */
+  private static final MessagePack.PackerConfig HEADS =
+      new MessagePack.PackerConfig().withBufferSize(HEAD_BYTES);
+
   /** Most bytes of a field name or type. */
   private static final int MAX_TEXT_BYTES = 256;
 
@@ -143,7 +150,7 @@
 
   /** Writes the map up to its last field, whose value is the content. */
   private static byte[] head(final String type, final long request, final long reply) {
-    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+    try (MessageBufferPacker packer = HEADS.newBufferPacker()) {
       packer.packMapHeader(2 + (request != 0 ? 1 : 0) + (reply != 0 ? 1 : 0));
       packer.packString(TYPE).packString(type);
       if (request != 0) {
--- a/system/src/test/java/org/lentilsail/system/GuardedFleet.java
+++ b/system/src/test/java/org/lentilsail/system/GuardedFleet.java
@@ -23,6 +23,8 @@
     load = new BackgroundLoad(fleet, SampleRecords.SERVICES, RATE);
     try {
       SampleRecords.apply(fleet);
+      // VMs that have just joined verify first, all at once; no budget is spent on them.
+      Await.until("all VMs in service", LIMIT, this::isInService);
     } catch (final Exception error) {
       fleet.close();
       throw error;
@@ -30,6 +32,11 @@
     load.start();
   }
 
+  private boolean isInService() throws IOException {
+    final JsonNode vms = admin("e1", "GET", "/v1/fleet", "").findPath("vms");
+    return vms.size() == fleet.plan().vms().size() && vms.findValue("phase") == null;
+  }
+
   JsonNode admin(final String daemon, final String method, final String path, final String body)
       throws IOException {
     return fleet.web().json(fleet.addresses().admins().get(daemon), method, path, body);
