--- a/library/src/main/java/org/lentilsail/dispatch/DispatchService.java
+++ b/library/src/main/java/org/lentilsail/dispatch/DispatchService.java
@@ -19,6 +19,9 @@
 
 /** Hands out slots: asks the dispatcher of a service, and is the dispatcher of some services. */
 public final class DispatchService implements SlotSource, StateSource {
+  /** Time in ns between two looks at the peers; a tenth of the silence after which one is dead. */
+  private static final long LOOK_NANOS = 50_000_000L;
+
   /** Interval in ns at which the report and the state are made anew. */
   private static final long PUBLISH_NANOS = 1_000_000_000L;
 
@@ -52,6 +55,9 @@
   /** VMs under a drain notice. */
   private Set<String> noticedVms = Set.of();
 
+  /** Monotonic time of the last look at the peers. */
+  private long lookedNanos;
+
   /** Monotonic time of the last report. */
   private long publishedNanos;
 
@@ -82,6 +88,7 @@
     this.configuration = configuration;
     this.time = time;
     this.executor = executor;
+    this.lookedNanos = time.nanos() - LOOK_NANOS;
     this.choice = new DispatcherChoice(network, place.region());
     this.host = new DispatcherHost(time, random, this::send);
     this.asker = new SlotAsker(choice, place.availabilityZone(), time, executor, this::send);
@@ -153,7 +160,10 @@
 
   /** Does what is due; the dispatcher thread calls it every 10 ms. */
   public void tick() {
-    lookAtPeers();
+    if (time.nanos() - lookedNanos >= LOOK_NANOS) {
+      lookedNanos = time.nanos();
+      lookAtPeers();
+    }
     host.tick();
     asker.tick();
     if (time.nanos() - publishedNanos >= PUBLISH_NANOS) {
--- a/system/src/main/java/org/lentilsail/system/SystemMain.java
+++ b/system/src/main/java/org/lentilsail/system/SystemMain.java
@@ -10,7 +10,7 @@
 
   /** The subcommands. */
   private static final List<SystemCommand> COMMANDS =
-      List.of(new QuickstartCommand(), new BenchPathCommand());
+      List.of(new QuickstartCommand(), new BenchPathCommand(), new SlopesCommand());
 
   private SystemMain() {}
 
