Send changes of the fleet document to peers as differences

Cause: a change of the fleet document travelled whole to each peer, 425 KB over 7 daemons at 1,200 VMs, so a wave with a change every second exceeded 24 KB/s for each node. Change: a difference to exactly the previous revision of the key is sent; a receiver with another revision applies nothing and asks for the whole value. Peers say whether they read differences. Conclusion: the way between daemons no longer grows with the fleet for small changes; the platform's watch still delivers whole documents.

--- a/library/src/main/java/org/lentilsail/config/ApplyResult.java
+++ b/library/src/main/java/org/lentilsail/config/ApplyResult.java
@@ -7,5 +7,7 @@
   /** The store reaches as far already. */
   STALE,
   /** Changes between the store and the batch are missing; nothing was applied. */
-  GAP
+  GAP,
+  /** A difference is to a value that the store does not have; nothing was applied. */
+  BASE_MISSING
 }
--- a/library/src/main/java/org/lentilsail/config/ChangeBatch.java
+++ b/library/src/main/java/org/lentilsail/config/ChangeBatch.java
@@ -10,10 +10,26 @@
  * @param from revision after which the changes begin, 0 for a full batch
  * @param to revision up to which the batch reaches
  * @param changes the changes in order of revision
+ * @param deltas further changes, as differences, in order of revision
  */
-public record ChangeBatch(boolean full, long from, long to, List<Change> changes) {
-  /** Copies the list, so that the batch cannot change. */
+public record ChangeBatch(
+    boolean full, long from, long to, List<Change> changes, List<Delta> deltas) {
+  /** Copies the lists, so that the batch cannot change. */
   public ChangeBatch {
     changes = List.copyOf(changes);
+    deltas = List.copyOf(deltas);
+  }
+
+  /**
+   * Creates a batch without differences.
+   *
+   * @param full whether the changes are all values at {@code to} instead of what has changed
+   * @param from revision after which the changes begin, 0 for a full batch
+   * @param to revision up to which the batch reaches
+   * @param changes the changes in order of revision
+   */
+  public ChangeBatch(
+      final boolean full, final long from, final long to, final List<Change> changes) {
+    this(full, from, to, changes, List.of());
   }
 }
--- a/library/src/main/java/org/lentilsail/config/Changes.java
+++ b/library/src/main/java/org/lentilsail/config/Changes.java
@@ -13,8 +13,10 @@
  * @param from revision after which the changes begin
  * @param to revision up to which the batch reaches
  * @param changes the changes
+ * @param deltas further changes, as differences
  */
-record Changes(boolean full, long from, long to, List<Item> changes) implements PeerMessage {
+record Changes(boolean full, long from, long to, List<Item> changes, List<Delta> deltas)
+    implements PeerMessage {
   /** Name of the type in frames. */
   static final String NAME = "changes";
 
@@ -25,7 +27,8 @@
         batch.to(),
         batch.changes().stream()
             .map(change -> new Item(change.key(), change.value().orElse(null), change.revision()))
-            .toList());
+            .toList(),
+        batch.deltas());
   }
 
   ChangeBatch batch() {
@@ -35,7 +38,8 @@
         to,
         changes.stream()
             .map(item -> new Change(item.key(), item.presentValue(), item.revision()))
-            .toList());
+            .toList(),
+        deltas == null ? List.of() : deltas);
   }
 
   /**
--- a/library/src/main/java/org/lentilsail/config/ConfigurationStore.java
+++ b/library/src/main/java/org/lentilsail/config/ConfigurationStore.java
@@ -95,6 +95,16 @@
     return values.since(after);
   }
 
+  /**
+   * Returns what a peer lacks, without differences.
+   *
+   * @param after revision up to which the peer has everything
+   * @return the changes since, or all values when the log does not reach back that far
+   */
+  public synchronized ChangeBatch wholeSince(final long after) {
+    return values.wholeSince(after);
+  }
+
   @Override
   public String stateName() {
     return "configuration";
--- a/library/src/main/java/org/lentilsail/config/ConfigurationValues.java
+++ b/library/src/main/java/org/lentilsail/config/ConfigurationValues.java
@@ -1,11 +1,13 @@
 package org.lentilsail.config;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.lentilsail.platform.Change;
 
 /**
@@ -20,11 +22,20 @@
   /** Start of the keys that matter to daemons. */
   private static final List<String> PREFIXES = List.of("config/", "control/", "keys/");
 
+  /** Start of the keys whose changes travel as differences, because their values are large. */
+  private static final String DELTA_PREFIX = "control/fleet/";
+
+  /**
+   * Most differences of one key in a batch. Each is a fraction of the whole value, so a peer that
+   * lacks more gets the whole value.
+   */
+  private static final int MAX_DELTAS = 32;
+
   /** Last change of each key; deletions stay as tombstones while the log reaches back to them. */
   private final Map<String, Change> last = new HashMap<>();
 
   /** The last changes in order of revision. */
-  private final Deque<Change> log = new ArrayDeque<>();
+  private final Deque<LoggedChange> log = new ArrayDeque<>();
 
   /** Revision up to which the values reach. */
   private long revision;
@@ -54,25 +65,33 @@
     } else if (batch.from() > revision) {
       result = ApplyResult.GAP;
     } else {
-      batch.changes().stream().filter(this::isNews).forEach(this::record);
-      revision = batch.to();
-      result = ApplyResult.APPLIED;
+      final Optional<List<LoggedChange>> news = new BatchReader(last).read(batch);
+      news.ifPresent(
+          changes -> {
+            changes.stream().filter(change -> isNews(change.change())).forEach(this::record);
+            revision = batch.to();
+          });
+      result = news.isPresent() ? ApplyResult.APPLIED : ApplyResult.BASE_MISSING;
     }
     return result;
   }
 
   /** Returns what a peer lacks that has everything up to a revision. */
   ChangeBatch since(final long after) {
+    return since(after, MAX_DELTAS);
+  }
+
+  /** Returns what a peer lacks that has everything up to a revision, without differences. */
+  ChangeBatch wholeSince(final long after) {
+    return since(after, 0);
+  }
+
+  private ChangeBatch since(final long after, final int maxDeltas) {
     final ChangeBatch result;
     if (after >= revision) {
       result = new ChangeBatch(false, revision, revision, List.of());
     } else if (after >= logFrom) {
-      result =
-          new ChangeBatch(
-              false,
-              after,
-              revision,
-              log.stream().filter(change -> change.revision() > after).toList());
+      result = logged(after, maxDeltas);
     } else {
       result =
           new ChangeBatch(
@@ -87,17 +106,49 @@
     return result;
   }
 
+  private ChangeBatch logged(final long after, final int maxDeltas) {
+    final List<Change> changes = new ArrayList<>();
+    final Map<String, List<Delta>> deltas = new HashMap<>();
+    for (final LoggedChange logged : log) {
+      final Change change = logged.change();
+      if (change.revision() > after && logged.delta().isPresent()) {
+        deltas.computeIfAbsent(change.key(), key -> new ArrayList<>()).add(logged.delta().get());
+      } else if (change.revision() > after) {
+        changes.add(change);
+      }
+    }
+    final List<Delta> sent = new ArrayList<>();
+    deltas.forEach(
+        (key, chain) -> {
+          if (chain.size() <= maxDeltas) {
+            sent.addAll(chain);
+          } else {
+            changes.add(last.get(key));
+          }
+        });
+    changes.sort(Comparator.comparingLong(Change::revision));
+    sent.sort(Comparator.comparingLong(Delta::revision));
+    return new ChangeBatch(false, after, revision, changes, sent);
+  }
+
   private boolean isNews(final Change change) {
     final Change present = last.get(change.key());
     return PREFIXES.stream().anyMatch(change.key()::startsWith)
         && change.revision() > (present == null ? 0 : present.revision());
   }
 
-  private void record(final Change change) {
-    last.put(change.key(), change);
-    log.addLast(change);
+  private void record(final LoggedChange news) {
+    final Change change = news.change();
+    final Change before = last.put(change.key(), change);
+    final Optional<Delta> delta = news.delta().or(() -> delta(before, change));
+    // The log keeps a difference without the whole value: 1,024 documents would fill the memory.
+    log.addLast(
+        delta.isEmpty()
+            ? news
+            : new LoggedChange(
+                new Change(change.key(), Optional.empty(), change.revision()), delta));
     while (log.size() > LOG_SIZE) {
-      final Change oldest = log.removeFirst();
+      final Change oldest = log.removeFirst().change();
       logFrom = oldest.revision();
       if (oldest.value().isEmpty()) {
         last.remove(oldest.key(), oldest);
@@ -105,6 +156,19 @@
     }
   }
 
+  private static Optional<Delta> delta(final Change before, final Change change) {
+    Optional<Delta> result = Optional.empty();
+    if (before != null
+        && change.key().startsWith(DELTA_PREFIX)
+        && before.value().isPresent()
+        && change.value().isPresent()) {
+      result =
+          JsonDelta.between(before.value().get(), change.value().get())
+              .map(json -> new Delta(change.key(), before.revision(), change.revision(), json));
+    }
+    return result;
+  }
+
   private void replaceAll(final ChangeBatch batch) {
     last.clear();
     log.clear();
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/config/Delta.java
@@ -0,0 +1,13 @@
+package org.lentilsail.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * A change of a key as the difference to the key's previous value.
+ *
+ * @param key the key
+ * @param base revision of the previous value; the difference applies to no other value
+ * @param revision revision of the change
+ * @param difference the difference in the form of {@link JsonDelta}
+ */
+public record Delta(String key, long base, long revision, JsonNode difference) {}
--- a/library/src/main/java/org/lentilsail/config/PeerSync.java
+++ b/library/src/main/java/org/lentilsail/config/PeerSync.java
@@ -57,6 +57,8 @@
     this.availabilityZone = availabilityZone;
     network.handle(ChangesRequest.NAME, ChangesRequest.class, this::answer);
     network.handle(Changes.NAME, Changes.class, this::receive);
+    network.handle(
+        ChangeDeltas.NAME, ChangeDeltas.class, (from, message) -> receive(from, message.changes()));
   }
 
   /**
@@ -78,7 +80,8 @@
    * @param batch the changes
    */
   void push(final ChangeBatch batch) {
-    final Changes message = Changes.of(batch);
+    final Changes changes = Changes.of(batch);
+    final PeerMessage message = batch.deltas().isEmpty() ? changes : new ChangeDeltas(changes);
     network.peers().stream()
         .filter(PeerView::live)
         .filter(peer -> peer.availabilityZone().equals(availabilityZone))
@@ -86,14 +89,17 @@
   }
 
   private CompletableFuture<PeerMessage> answer(final String from, final ChangesRequest request) {
-    return CompletableFuture.completedFuture(Changes.of(store.since(request.after())));
+    return CompletableFuture.completedFuture(
+        Changes.of(
+            request.deltas() ? store.since(request.after()) : store.wholeSince(request.after())));
   }
 
   private CompletableFuture<PeerMessage> receive(final String from, final Changes message) {
     control.execute(
         () -> {
-          if (store.apply(message.batch()) == ApplyResult.GAP) {
-            ask(from);
+          final ApplyResult result = store.apply(message.batch());
+          if (result == ApplyResult.GAP || result == ApplyResult.BASE_MISSING) {
+            ask(from, result == ApplyResult.GAP);
           }
         });
     return null;
@@ -109,13 +115,13 @@
           () -> {
             asking = false;
             if (revision > store.current().revision()) {
-              ask(peer);
+              ask(peer, true);
             }
           },
           PUSH_GRACE_MILLIS,
           TimeUnit.MILLISECONDS);
     } else {
-      ask(peer);
+      ask(peer, true);
     }
   }
 
@@ -129,18 +135,21 @@
                         && peer.availabilityZone().equals(availabilityZone));
   }
 
-  private void ask(final String peer) {
+  private void ask(final String peer, final boolean deltas) {
     if (asking) {
       return;
     }
     asking = true;
     network
-        .request(peer, new ChangesRequest(store.current().revision()), TIMEOUT, Changes.class)
+        .request(
+            peer, new ChangesRequest(store.current().revision(), deltas), TIMEOUT, Changes.class)
         .whenCompleteAsync(
             (changes, failure) -> {
               asking = false;
               if (failure == null) {
-                store.apply(changes.batch());
+                if (store.apply(changes.batch()) == ApplyResult.BASE_MISSING) {
+                  ask(peer, false);
+                }
               } else {
                 Logger.debug("config: no changes from {}: {}", peer, failure.getMessage());
               }
--- a/library/src/main/java/org/lentilsail/config/PlatformWatcher.java
+++ b/library/src/main/java/org/lentilsail/config/PlatformWatcher.java
@@ -228,7 +228,7 @@
     if (result.complete()) {
       final ChangeBatch batch = new ChangeBatch(false, after, result.revision(), result.changes());
       if (store.apply(batch) == ApplyResult.APPLIED) {
-        sync.push(batch);
+        sync.push(store.since(after));
       }
     }
     if (watching && watches.begin()) {
--- a/measure/src/main/java/org/lentilsail/measure/DistributionCommand.java
+++ b/measure/src/main/java/org/lentilsail/measure/DistributionCommand.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
 import org.HdrHistogram.Histogram;
 import org.lentilsail.http.UndertowHttpCaller;
 import org.lentilsail.model.time.TimeSource;
@@ -83,8 +84,9 @@
       }
       start(http, platform.address());
       reportQuiet(fleet);
-      reportChanges(fleet, "record", "config/pool/pool-0");
-      reportChanges(fleet, "fleet-document", SampleFleet.FLEET_KEY);
+      reportChanges(fleet, "record", "config/pool/pool-0", i -> fleet.pool(0, i % 2));
+      reportChanges(fleet, "wave-step", SampleFleet.FLEET_KEY, fleet::waveStep);
+      reportChanges(fleet, "fleet-document", SampleFleet.FLEET_KEY, fleet::fleet);
       reportSnapshot(fleet, http);
     } finally {
       daemons.forEach(MeasuredDaemon::close);
@@ -116,15 +118,18 @@
     print(fleet, "heartbeats", "bytes/s/daemon", quietRate * 1_000 / DAEMONS);
   }
 
-  private void reportChanges(final SampleFleet fleet, final String kind, final String key)
+  private void reportChanges(
+      final SampleFleet fleet,
+      final String kind,
+      final String key,
+      final IntFunction<JsonNode> values)
       throws Exception {
     long revision = operator.get(key).get().orElseThrow().revision();
     final Histogram micros = new Histogram(3);
     final long bytesBefore = sentBytes();
     final long start = System.nanoTime();
     for (int i = 1; i <= CHANGES; i++) {
-      final JsonNode value =
-          key.equals(SampleFleet.FLEET_KEY) ? fleet.fleet(i) : fleet.pool(0, i % 2);
+      final JsonNode value = values.apply(i);
       final long sent = System.nanoTime();
       revision = write(key, revision, value).revision();
       awaitRevision(daemons, revision);
--- a/measure/src/main/java/org/lentilsail/measure/SampleFleet.java
+++ b/measure/src/main/java/org/lentilsail/measure/SampleFleet.java
@@ -5,14 +5,18 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import org.lentilsail.config.KeyTerm;
 import org.lentilsail.config.KeyTermCodec;
 import org.lentilsail.model.fleet.FleetCodec;
 import org.lentilsail.model.fleet.FleetDocument;
 import org.lentilsail.model.fleet.VmEntry;
+import org.lentilsail.model.fleet.VmPhase;
+import org.lentilsail.model.fleet.WaveProgress;
 
 /**
  * Platform values of a fleet of some size.
@@ -57,7 +61,25 @@
     return record("pool", "pool-" + number, object().put("minimumVms", minimum));
   }
 
+  /** Returns the document after so many VMs of a wave, of which the last one is drained. */
+  JsonNode waveStep(final int step) {
+    final Map<String, VmEntry> entries = entries(0);
+    final String vm = "vm-" + step % vms;
+    entries.put(vm, entries.get(vm).withPhase(VmPhase.DRAINING, EPOCH_MILLIS + step));
+    final Set<String> done = new HashSet<>();
+    for (int i = 0; i < step; i++) {
+      done.add("vm-" + i % vms);
+    }
+    final WaveProgress wave =
+        new WaveProgress("monthly", 1, EPOCH_MILLIS, done, Set.of(), false, EPOCH_MILLIS, 0);
+    return FleetCodec.write(new FleetDocument(1, "entry-1", entries, Map.of("monthly", wave)));
+  }
+
   JsonNode fleet(final long epoch) {
+    return FleetCodec.write(new FleetDocument(epoch, "entry-1", entries(epoch), Map.of()));
+  }
+
+  private Map<String, VmEntry> entries(final long epoch) {
     final Map<String, VmEntry> entries = new HashMap<>();
     for (int i = 0; i < vms; i++) {
       final String vm = "vm-" + i;
@@ -72,7 +94,7 @@
               1,
               EPOCH_MILLIS + epoch));
     }
-    return FleetCodec.write(new FleetDocument(epoch, "entry-1", entries, Map.of()));
+    return entries;
   }
 
   private static ObjectNode record(final String kind, final String name, final ObjectNode spec) {
