Name the common part of two batches by its own name

Cause: the linter refuses overloads apart from each other. Change: a private method has a name of its own. Measured: library tests passed before; only the linter failed. Conclusion: none.

--- a/library/src/main/java/org/lentilsail/config/ConfigurationValues.java
+++ b/library/src/main/java/org/lentilsail/config/ConfigurationValues.java
@@ -78,15 +78,15 @@
 
   /** Returns what a peer lacks that has everything up to a revision. */
   ChangeBatch since(final long after) {
-    return since(after, MAX_DELTAS);
+    return batchSince(after, MAX_DELTAS);
   }
 
   /** Returns what a peer lacks that has everything up to a revision, without differences. */
   ChangeBatch wholeSince(final long after) {
-    return since(after, 0);
+    return batchSince(after, 0);
   }
 
-  private ChangeBatch since(final long after, final int maxDeltas) {
+  private ChangeBatch batchSince(final long after, final int maxDeltas) {
     final ChangeBatch result;
     if (after >= revision) {
       result = new ChangeBatch(false, revision, revision, List.of());
