Report restarts of peers in the fake network as the real one does

Cause: DispatchServiceTest.freesSlotsOfRestartedDaemon failed once the dispatcher looked at its peers every 50 ms; the fake network gave no notice of a restarted peer, the real one does. Change: the fake calls its listeners when a daemon is heard first or with a new incarnation; the test and its bound are unchanged. Conclusion: a restart frees slots by the notice, silence by the look.

--- a/library/src/test/java/org/lentilsail/dispatch/FakePeerNetwork.java
+++ b/library/src/test/java/org/lentilsail/dispatch/FakePeerNetwork.java
@@ -71,6 +71,12 @@
     /** Times at which the others were heard last. */
     private final Map<String, Long> heard = new TreeMap<>();
 
+    /** Incarnations of the others when they were heard last. */
+    private final Map<String, Long> incarnations = new HashMap<>();
+
+    /** Learn of daemons that are heard first or have started again. */
+    private final List<Consumer<PeerView>> listeners = new ArrayList<>();
+
     Node(final String id) {
       this.id = id;
       nodes.put(id, this);
@@ -80,6 +86,11 @@
       for (final String other : nodes.keySet()) {
         if (!other.equals(id) && !cut.contains(other + '>' + id)) {
           heard.put(other, time.nanos());
+          final long number = nodes.get(other).incarnation;
+          if (!Long.valueOf(number).equals(incarnations.put(other, number))) {
+            final PeerView view = new PeerView(other, number, "z", "r", true, true, 0);
+            listeners.forEach(listener -> listener.accept(view));
+          }
         }
       }
     }
@@ -135,7 +146,7 @@
 
     @Override
     public void onPeerChange(final Consumer<PeerView> listener) {
-      // The daemons look at the views on each tick.
+      listeners.add(listener);
     }
   }
 }
