--- a/measure/src/main/java/org/lentilsail/measure/SampleFleet.java
+++ b/measure/src/main/java/org/lentilsail/measure/SampleFleet.java
@@ -71,7 +71,7 @@
       done.add("vm-" + i % vms);
     }
     final WaveProgress wave =
-        new WaveProgress("monthly", 1, EPOCH_MILLIS, done, Set.of(), false, EPOCH_MILLIS, 0);
+        new WaveProgress("monthly", 1, EPOCH_MILLIS, done, Set.of(), false, EPOCH_MILLIS, 0, 0);
     return FleetCodec.write(new FleetDocument(1, "entry-1", entries, Map.of("monthly", wave)));
   }
 
