--- a/system/src/main/java/org/lentilsail/system/SlopesCommand.java
+++ b/system/src/main/java/org/lentilsail/system/SlopesCommand.java
@@ -32,7 +32,8 @@
   @Override
   public int run(final String[] args) throws Exception {
     System.out.println(
-        "| VMs | phase | daemon | core % | resident MB | KB/s between daemons | platform calls/s |");
+        "| VMs | phase | daemon | core % | resident MB | KB/s between daemons"
+            + " | platform calls/s |");
     System.out.println("| --- | --- | --- | --- | --- | --- | --- |");
     for (final int size : SIZES) {
       measure(size);
