Wait for VMs in service in one place

Cause: SlopesCommand and the tests' GuardedFleet each read the fleet document for VMs that are not in service. Change: LocalFleet.awaitInService serves both; limits and condition are the same. Conclusion: behaviour is unchanged.

--- a/system/src/main/java/org/lentilsail/system/LocalFleet.java
+++ b/system/src/main/java/org/lentilsail/system/LocalFleet.java
@@ -1,5 +1,6 @@
 package org.lentilsail.system;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -156,6 +157,24 @@
         () -> web.status(addresses.admins().get(id), "/ready") == 200);
   }
 
+  /**
+   * Waits until every VM of the deployment is in service according to the first daemon.
+   *
+   * @param limit longest wait
+   * @return time in ms that it took
+   * @throws InterruptedException when the waiting thread is interrupted
+   */
+  long awaitInService(final Duration limit) throws InterruptedException {
+    final int admin = addresses.admins().get(plan.entries().get(0).id());
+    return Await.until(
+        "all VMs in service",
+        limit,
+        () -> {
+          final JsonNode vms = web.json(admin, "GET", "/v1/fleet", "").findPath("vms");
+          return vms.size() == plan.vms().size() && vms.findValue("phase") == null;
+        });
+  }
+
   /**
    * Runs the operators' command line against all daemons.
    *
--- a/system/src/main/java/org/lentilsail/system/SlopesCommand.java
+++ b/system/src/main/java/org/lentilsail/system/SlopesCommand.java
@@ -1,6 +1,5 @@
 package org.lentilsail.system;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
@@ -47,7 +46,7 @@
             List.of("recife", "fortaleza", "salvador"), 7, POOLS, size / POOLS.size());
     try (LocalFleet fleet = LocalFleet.start(plan)) {
       SampleRecords.apply(fleet);
-      Await.until("all VMs in service", JOIN_LIMIT, () -> isInService(fleet, size));
+      fleet.awaitInService(JOIN_LIMIT);
       report(size, "idle", fleet);
       fleet
           .web()
@@ -60,15 +59,6 @@
     }
   }
 
-  private static boolean isInService(final LocalFleet fleet, final int size) throws Exception {
-    final JsonNode vms =
-        fleet
-            .web()
-            .json(fleet.addresses().admins().get("e1"), "GET", "/v1/fleet", "")
-            .findPath("vms");
-    return vms.size() == size && vms.findValue("phase") == null;
-  }
-
   private static void report(final int size, final String phase, final LocalFleet fleet)
       throws Exception {
     final List<ResourceReading> before = ResourceReading.all(fleet);
--- a/system/src/test/java/org/lentilsail/system/GuardedFleet.java
+++ b/system/src/test/java/org/lentilsail/system/GuardedFleet.java
@@ -24,7 +24,7 @@
     try {
       SampleRecords.apply(fleet);
       // VMs that have just joined verify first, all at once; no budget is spent on them.
-      Await.until("all VMs in service", LIMIT, this::isInService);
+      fleet.awaitInService(LIMIT);
     } catch (final Exception error) {
       fleet.close();
       throw error;
@@ -32,11 +32,6 @@
     load.start();
   }
 
-  private boolean isInService() throws IOException {
-    final JsonNode vms = admin("e1", "GET", "/v1/fleet", "").findPath("vms");
-    return vms.size() == fleet.plan().vms().size() && vms.findValue("phase") == null;
-  }
-
   JsonNode admin(final String daemon, final String method, final String path, final String body)
       throws IOException {
     return fleet.web().json(fleet.addresses().admins().get(daemon), method, path, body);
