--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/Documents.java
@@ -0,0 +1,69 @@
+package org.lentilsail.jobs;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import java.io.IOException;
+import java.util.Optional;
+import org.lentilsail.model.error.ErrorCode;
+import org.lentilsail.model.error.LentilsailException;
+import org.lentilsail.model.job.JobProgress;
+import org.lentilsail.model.job.SubmittedJob;
+import org.lentilsail.store.StoredItem;
+import org.tinylog.Logger;
+
+/** Reads and writes the product's documents in the store, as JSON. Thread-safe. */
+final class Documents {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+  private static final ObjectWriter WRITER = MAPPER.writer();
+
+  /** Reads a submission. */
+  static final ObjectReader SUBMISSION = MAPPER.readerFor(SubmittedJob.class);
+
+  /** Reads the progress of a job. */
+  static final ObjectReader PROGRESS = MAPPER.readerFor(JobProgress.class);
+
+  /** Reads the last term. */
+  static final ObjectReader TERM = MAPPER.readerFor(TermDocument.class);
+
+  /** Reads the workers that may have been given work. */
+  static final ObjectReader ROSTER = MAPPER.readerFor(RosterDocument.class);
+
+  /** Reads the machines maintained in a wave. */
+  static final ObjectReader WAVE = MAPPER.readerFor(WaveDocument.class);
+
+  /** Reads the numbers of waiting jobs. */
+  static final ObjectReader WAITING = MAPPER.readerFor(WaitingDocument.class);
+
+  private Documents() {}
+
+  static byte[] write(final Object document) {
+    try {
+      return WRITER.writeValueAsBytes(document);
+    } catch (final JsonProcessingException error) {
+      throw new LentilsailException(
+          ErrorCode.INVALID_INPUT,
+          "cannot write a " + document.getClass().getSimpleName(),
+          "report this as a bug",
+          error);
+    }
+  }
+
+  /** Reads a document; one that cannot be read is logged and left out. */
+  static <T> Optional<T> read(final ObjectReader reader, final StoredItem item) {
+    try {
+      return Optional.ofNullable(reader.<T>readValue(item.value()));
+    } catch (final IOException error) {
+      Logger.warn(
+          "event=document-unreadable key={} revision={} reason={}",
+          item.key(),
+          item.revision(),
+          error.getMessage());
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -0,0 +1,275 @@
+package org.lentilsail.jobs;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.lentilsail.log.DecisionLog;
+import org.lentilsail.model.time.TimeSource;
+import org.lentilsail.store.Commit;
+import org.lentilsail.store.CommitResult;
+import org.lentilsail.store.GrantedLease;
+import org.lentilsail.store.ItemChange;
+import org.lentilsail.store.KeyValueStore;
+import org.lentilsail.store.PrefixFollower;
+import org.lentilsail.store.PrefixListener;
+import org.lentilsail.store.StoredItem;
+
+/**
+ * Elects the holder of control through the store: an item that goes with the lease of the holder, and
+ * an item that counts the terms. Owned by the control thread.
+ */
+final class Election implements PrefixListener {
+  /** Longest pause in ms before a claim, so that daemons rarely collide. */
+  private static final int CLAIM_SPREAD_MILLIS = 30;
+
+  /** Pause in ms before a failed claim is repeated. */
+  private static final long CLAIM_RETRY_MILLIS = 120;
+
+  /** Least time between two watches. */
+  private static final Duration WATCH_INTERVAL = Duration.ofMillis(5);
+
+  private final KeyValueStore store;
+  private final String daemon;
+  private final ScheduledExecutorService executor;
+  private final TimeSource time;
+  private final DecisionLog log;
+  private final HolderLease lease;
+  private final TermListener listener;
+  private final PrefixFollower follower;
+  private boolean loaded;
+  private boolean holderPresent;
+  private boolean claiming;
+  private boolean resigned;
+  private long knownTerm;
+  private long termRevision;
+  private Term own;
+
+  Election(
+      final KeyValueStore store,
+      final String daemon,
+      final ScheduledExecutorService executor,
+      final TimeSource time,
+      final DecisionLog log,
+      final Duration timeToLive,
+      final TermListener listener) {
+    this.store = store;
+    this.daemon = daemon;
+    this.executor = executor;
+    this.time = time;
+    this.log = log;
+    this.listener = listener;
+    this.lease = new HolderLease(store, executor, time, log, timeToLive, this::leaseEnded);
+    this.follower =
+        new PrefixFollower(store, StoreKeys.ELECTION, this, executor, time, WATCH_INTERVAL);
+  }
+
+  void start() {
+    follower.start();
+  }
+
+  /** Gives control up, so that another daemon can claim it at once. */
+  void resign() {
+    resigned = true;
+    if (own != null) {
+      log.log("control-resigned", "term", own.number());
+      own = null;
+      listener.deposed();
+    }
+    lease.end();
+  }
+
+  boolean isSure() {
+    return own != null && lease.isSure();
+  }
+
+  boolean isHolder() {
+    return own != null;
+  }
+
+  long knownTerm() {
+    return knownTerm;
+  }
+
+  /** Reports that a worker has seen a newer token; trust ends until the lease is renewed. */
+  void doubt() {
+    lease.doubt();
+  }
+
+  /** Reports that a commit found a newer term. */
+  void superseded() {
+    depose("a commit found a newer term");
+  }
+
+  @Override
+  public void snapshot(final List<StoredItem> items) {
+    loaded = true;
+    holderPresent = false;
+    for (final StoredItem item : items) {
+      take(item.key(), Optional.of(item));
+    }
+  }
+
+  @Override
+  public void changed(final ItemChange change) {
+    take(change.key(), change.item());
+  }
+
+  @Override
+  public void settled() {
+    if (loaded && !holderPresent && !claiming && !resigned) {
+      final long pause =
+          own != null ? 0 : ThreadLocalRandom.current().nextInt(CLAIM_SPREAD_MILLIS);
+      claiming = true;
+      executor.schedule(this::claim, pause, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void take(final String key, final Optional<StoredItem> item) {
+    if (key.equals(StoreKeys.HOLDER)) {
+      holderPresent = item.isPresent();
+    } else if (key.equals(StoreKeys.TERM) && item.isPresent()) {
+      Documents.<TermDocument>read(Documents.TERM, item.get())
+          .ifPresent(document -> term(document, item.get().revision()));
+    }
+  }
+
+  private void term(final TermDocument document, final long revision) {
+    if (document.term() < knownTerm) {
+      return;
+    }
+    knownTerm = document.term();
+    termRevision = revision;
+    if (own != null && document.term() > own.number()) {
+      depose("daemon " + document.holder() + " has claimed term " + document.term());
+    }
+  }
+
+  private void depose(final String reason) {
+    if (own != null) {
+      log.log("control-lost", "term", own.number(), "reason", reason);
+      own = null;
+      lease.forget();
+      listener.deposed();
+    }
+  }
+
+  private void leaseEnded() {
+    holderPresent = false;
+    settled();
+  }
+
+  private void claim() {
+    if (resigned || holderPresent) {
+      claiming = false;
+      return;
+    }
+    final long sentAt = time.nanos();
+    lease
+        .grant()
+        .whenCompleteAsync(
+            (granted, failure) -> {
+              if (failure != null) {
+                claimFailed("no lease: " + failure.getMessage());
+              } else {
+                commitClaim(granted, sentAt);
+              }
+            },
+            executor);
+  }
+
+  private void commitClaim(final GrantedLease granted, final long sentAt) {
+    final long number = knownTerm + 1;
+    final String mark = daemon + '/' + granted.id();
+    final Commit commit =
+        Commit.empty()
+            .when(StoreKeys.HOLDER, 0)
+            .when(StoreKeys.TERM, termRevision)
+            .write(StoreKeys.HOLDER, mark.getBytes(StandardCharsets.UTF_8), granted.id())
+            .write(StoreKeys.TERM, Documents.write(new TermDocument(number, daemon)), 0);
+    store
+        .commit(commit)
+        .whenCompleteAsync(
+            (result, failure) -> {
+              if (failure != null) {
+                readBack(granted, sentAt, number, mark);
+              } else {
+                judge(result, granted, sentAt, number);
+              }
+            },
+            executor);
+  }
+
+  private void judge(
+      final CommitResult result,
+      final GrantedLease granted,
+      final long sentAt,
+      final long number) {
+    if (result.applied()) {
+      won(granted, sentAt, number, result.revision());
+      return;
+    }
+    lease.discard(granted);
+    for (final StoredItem item : result.present()) {
+      take(item.key(), Optional.of(item));
+    }
+    claimFailed("another daemon was faster");
+  }
+
+  private void readBack(
+      final GrantedLease granted, final long sentAt, final long number, final String mark) {
+    store
+        .get(StoreKeys.HOLDER)
+        .thenCombine(store.get(StoreKeys.TERM), Claimed::new)
+        .whenCompleteAsync(
+            (claimed, failure) -> {
+              if (failure == null && claimed.isMine(mark)) {
+                won(granted, sentAt, number, claimed.term().get().revision());
+              } else {
+                lease.discard(granted);
+                claimFailed("the claim was not answered");
+              }
+            },
+            executor);
+  }
+
+  /** The items of a claim as they were read back. */
+  private record Claimed(Optional<StoredItem> holder, Optional<StoredItem> term) {
+    boolean isMine(final String mark) {
+      return term.isPresent()
+          && holder.isPresent()
+          && new String(holder.get().value(), StandardCharsets.UTF_8).equals(mark);
+    }
+  }
+
+  private void won(
+      final GrantedLease granted, final long sentAt, final long number, final long revision) {
+    claiming = false;
+    if (resigned) {
+      lease.discard(granted);
+      return;
+    }
+    final boolean uninterrupted = own != null && own.number() == number - 1;
+    own = new Term(number, revision);
+    knownTerm = number;
+    termRevision = revision;
+    holderPresent = true;
+    lease.hold(granted, sentAt);
+    log.log("control-claimed", "term", number, "uninterrupted", uninterrupted);
+    listener.elected(own, uninterrupted);
+  }
+
+  private void claimFailed(final String reason) {
+    log.log("control-claim-failed", "term", knownTerm + 1, "reason", reason);
+    executor.schedule(
+        () -> {
+          claiming = false;
+          settled();
+        },
+        CLAIM_RETRY_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -0,0 +1,106 @@
+package org.lentilsail.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.lentilsail.model.job.JobState;
+import org.lentilsail.policy.job.JobBook;
+import org.lentilsail.policy.job.JobRun;
+import org.lentilsail.store.Commit;
+
+/** Publishes the numbers of waiting jobs and removes jobs that ended long ago. Control thread. */
+final class Housekeeping {
+  /** Time in ns between publications; callers may see numbers up to 2 s old. */
+  private static final long PUBLISH_NANOS = 700_000_000L;
+
+  /** Time in ns between removals. */
+  private static final long REMOVE_NANOS = 5_000_000_000L;
+
+  /** Time in ms for which a job is kept beyond the time in which it can be asked for. */
+  private static final long KEEP_MARGIN_MILLIS = 60_000;
+
+  /** Jobs removed in one commit; each has three items. */
+  private static final int REMOVE_BATCH = (Commit.MAX_ENTRIES - 1) / 3;
+
+  private final ControlParts parts;
+  private final JobBook jobs;
+  private Map<String, Integer> published;
+  private long publishedAt = Long.MIN_VALUE / 2;
+  private long removedAt = Long.MIN_VALUE / 2;
+  private boolean busy;
+
+  Housekeeping(final ControlParts parts, final JobBook jobs) {
+    this.parts = parts;
+    this.jobs = jobs;
+  }
+
+  void tick(final long now, final Term term) {
+    if (!busy && now - publishedAt >= PUBLISH_NANOS) {
+      publish(now, term);
+    }
+    if (!busy && now - removedAt >= REMOVE_NANOS) {
+      removedAt = now;
+      remove(term);
+    }
+  }
+
+  private void publish(final long now, final Term term) {
+    final Map<String, Integer> counts = new HashMap<>();
+    for (final JobRun job : jobs.active()) {
+      if (job.state() == JobState.PENDING && !job.submitted().spec().timed()) {
+        counts.merge(job.submitted().queue(), 1, Integer::sum);
+      }
+    }
+    publishedAt = now;
+    if (counts.equals(published)) {
+      return;
+    }
+    commit(
+        Commit.empty()
+            .when(StoreKeys.TERM, term.revision())
+            .write(StoreKeys.WAITING, Documents.write(new WaitingDocument(counts)), 0),
+        () -> published = counts);
+  }
+
+  private void remove(final Term term) {
+    final long before =
+        parts.time().wallMillis() - parts.bounds().keepStateMillis() - KEEP_MARGIN_MILLIS;
+    final List<String> old = new ArrayList<>();
+    for (final JobRun job : jobs.all()) {
+      if (old.size() < REMOVE_BATCH
+          && job.state().isFinal()
+          && job.finishedMillis() > 0
+          && job.finishedMillis() < before) {
+        old.add(job.id());
+      }
+    }
+    if (old.isEmpty()) {
+      return;
+    }
+    Commit commit = Commit.empty().when(StoreKeys.TERM, term.revision());
+    for (final String id : old) {
+      commit =
+          commit
+              .remove(StoreKeys.submission(id))
+              .remove(StoreKeys.cancellation(id))
+              .remove(StoreKeys.progress(id));
+    }
+    commit(commit, () -> old.forEach(jobs::forget));
+  }
+
+  private void commit(final Commit commit, final Runnable done) {
+    busy = true;
+    parts
+        .store()
+        .commit(commit)
+        .whenCompleteAsync(
+            (result, failure) -> {
+              busy = false;
+              if (failure == null && result.applied()) {
+                done.run();
+              }
+            },
+            parts.executor());
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/JobGate.java
@@ -0,0 +1,230 @@
+package org.lentilsail.jobs;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.lentilsail.log.DecisionLog;
+import org.lentilsail.model.job.JobProgress;
+import org.lentilsail.model.job.JobState;
+import org.lentilsail.model.job.SubmittedJob;
+import org.lentilsail.model.time.TimeSource;
+import org.lentilsail.store.Commit;
+import org.lentilsail.store.CommitResult;
+import org.lentilsail.store.KeyValueStore;
+import org.lentilsail.store.StoredItem;
+
+/**
+ * What callers can do with jobs, the same at every daemon: submit, ask for the state, cancel, and
+ * count the waiting jobs of a queue. Methods may be called from any thread; futures complete on the
+ * control thread.
+ */
+public final class JobGate {
+  /** Final states remembered; older ones are read from the store again. */
+  private static final int REMEMBERED = 4_000;
+
+  /** Age in ns up to which the numbers of waiting jobs are used without reading them again. */
+  private static final long WAITING_AGE_NANOS = 400_000_000L;
+
+  private final KeyValueStore store;
+  private final Executor executor;
+  private final DecisionLog log;
+  private final TimeSource time;
+  private final StoreAvailability availability;
+  private final Submissions submissions;
+  private final Map<String, JobState> ended = bounded();
+  private final Map<String, Boolean> known = bounded();
+  private Map<String, Integer> waiting = Map.of();
+  private long waitingReadAt = Long.MIN_VALUE;
+
+  /**
+   * Creates a gate.
+   *
+   * @param store the store
+   * @param executor control thread
+   * @param log decisions
+   * @param time clock
+   * @param availability whether the store serves this daemon
+   */
+  public JobGate(
+      final KeyValueStore store,
+      final Executor executor,
+      final DecisionLog log,
+      final TimeSource time,
+      final StoreAvailability availability) {
+    this.store = store;
+    this.executor = executor;
+    this.log = log;
+    this.time = time;
+    this.availability = availability;
+    this.submissions = new Submissions(store, executor, log, availability);
+  }
+
+  /**
+   * Keeps a job.
+   *
+   * @param job the job
+   * @return what the caller may be told; never fails
+   */
+  public CompletableFuture<SubmitOutcome> submit(final SubmittedJob job) {
+    return submissions
+        .submit(job)
+        .whenComplete(
+            (outcome, failure) -> {
+              if (outcome == SubmitOutcome.ACCEPTED) {
+                known.put(job.spec().id(), true);
+              }
+            });
+  }
+
+  /**
+   * Reads the state of a job.
+   *
+   * @param id id of the job
+   * @return the state, empty when there is no such job; fails when the store does not answer
+   */
+  public CompletableFuture<Optional<JobState>> state(final String id) {
+    return CompletableFuture.supplyAsync(() -> ended.get(id), executor)
+        .thenCompose(
+            last ->
+                last != null
+                    ? CompletableFuture.completedFuture(Optional.of(last))
+                    : readState(id));
+  }
+
+  /**
+   * Cancels a job.
+   *
+   * @param id id of the job
+   * @return ACCEPTED, NOT_FOUND, NOT_ACCEPTED or UNKNOWN; never fails
+   */
+  public CompletableFuture<SubmitOutcome> cancel(final String id) {
+    return store
+        .range(StoreKeys.INPUT + id + '/', "")
+        .thenComposeAsync(page -> cancelKnown(id, keys(page.items())), executor)
+        .exceptionally(failure -> SubmitOutcome.NOT_ACCEPTED)
+        .thenApply(
+            outcome -> {
+              log.log("job-cancel", "job", id, "outcome", outcome);
+              return outcome;
+            });
+  }
+
+  /**
+   * Counts the accepted jobs of a queue of which no task has started.
+   *
+   * @param queue name of the queue
+   * @return the number; fails when the store does not answer
+   */
+  public CompletableFuture<Integer> waiting(final String queue) {
+    return CompletableFuture.supplyAsync(
+            () -> time.nanos() - waitingReadAt < WAITING_AGE_NANOS ? waiting : null, executor)
+        .thenCompose(
+            recent -> recent != null ? CompletableFuture.completedFuture(recent) : readWaiting())
+        .thenApply(counts -> counts.getOrDefault(queue, 0));
+  }
+
+  private CompletableFuture<Map<String, Integer>> readWaiting() {
+    final long sentAt = time.nanos();
+    return store
+        .get(StoreKeys.WAITING)
+        .thenApplyAsync(
+            item -> {
+              availability.answered();
+              waiting =
+                  item.flatMap(
+                          found -> Documents.<WaitingDocument>read(Documents.WAITING, found))
+                      .map(WaitingDocument::jobs)
+                      .orElse(Map.of());
+              waitingReadAt = sentAt;
+              return waiting;
+            },
+            executor);
+  }
+
+  private CompletableFuture<Optional<JobState>> readState(final String id) {
+    return store
+        .get(StoreKeys.progress(id))
+        .thenComposeAsync(
+            item -> {
+              availability.answered();
+              final Optional<JobProgress> progress =
+                  item.flatMap(found -> Documents.<JobProgress>read(Documents.PROGRESS, found));
+              if (progress.isPresent()) {
+                return CompletableFuture.completedFuture(
+                    Optional.of(remember(id, progress.get().state())));
+              }
+              return known.containsKey(id)
+                  ? CompletableFuture.completedFuture(Optional.of(JobState.PENDING))
+                  : readExistence(id);
+            },
+            executor);
+  }
+
+  private JobState remember(final String id, final JobState state) {
+    if (state.isFinal()) {
+      ended.put(id, state);
+      known.remove(id);
+    }
+    return state;
+  }
+
+  private CompletableFuture<Optional<JobState>> readExistence(final String id) {
+    return store
+        .get(StoreKeys.submission(id))
+        .thenApplyAsync(
+            item -> {
+              if (item.isEmpty()) {
+                return Optional.empty();
+              }
+              known.put(id, true);
+              return Optional.of(JobState.PENDING);
+            },
+            executor);
+  }
+
+  private CompletableFuture<SubmitOutcome> cancelKnown(final String id, final Set<String> keys) {
+    availability.answered();
+    if (!keys.contains(StoreKeys.submission(id))) {
+      return CompletableFuture.completedFuture(SubmitOutcome.NOT_FOUND);
+    }
+    if (keys.contains(StoreKeys.cancellation(id))) {
+      return CompletableFuture.completedFuture(SubmitOutcome.ACCEPTED);
+    }
+    final String key = StoreKeys.cancellation(id);
+    return store
+        .commit(Commit.empty().when(key, 0).write(key, Documents.write(time.wallMillis()), 0))
+        .handle(JobGate::cancelOutcome);
+  }
+
+  private static SubmitOutcome cancelOutcome(final CommitResult result, final Throwable failure) {
+    if (failure == null) {
+      return SubmitOutcome.ACCEPTED;
+    }
+    return Submissions.isUnknown(failure) ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_ACCEPTED;
+  }
+
+  private static Set<String> keys(final Iterable<StoredItem> items) {
+    final Set<String> keys = new HashSet<>();
+    items.forEach(item -> keys.add(item.key()));
+    return keys;
+  }
+
+  private static <T> Map<String, T> bounded() {
+    return new LinkedHashMap<>() {
+      @Override
+      protected boolean removeEldestEntry(final Map.Entry<String, T> eldest) {
+        return size() > REMEMBERED;
+      }
+    };
+  }
+
+  /** Returns the numbers of waiting jobs that were read last, for the state dump. */
+  Map<String, Integer> lastWaiting() {
+    return new HashMap<>(waiting);
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
@@ -0,0 +1,139 @@
+package org.lentilsail.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.lentilsail.model.job.JobProgress;
+import org.lentilsail.policy.job.JobBook;
+import org.lentilsail.policy.job.JobRun;
+import org.lentilsail.store.Commit;
+import org.lentilsail.store.CommitResult;
+
+/**
+ * Keeps the progress of jobs in the store, one commit at a time. Ends of runs are acknowledged to
+ * their workers only after the commit that keeps them. Owned by the control thread.
+ */
+final class ProgressWriter {
+  /** Jobs in one commit, beside the condition on the term. */
+  private static final int BATCH = Commit.MAX_ENTRIES - 1;
+
+  /** Pause in ms after a failed commit. */
+  private static final long RETRY_MILLIS = 60;
+
+  private final ControlParts parts;
+  private final JobBook jobs;
+  private final Runnable superseded;
+  private final List<Runnable> waiters = new ArrayList<>();
+  private Term term;
+  private boolean busy;
+  private boolean closed;
+
+  ProgressWriter(
+      final ControlParts parts, final JobBook jobs, final Term term, final Runnable superseded) {
+    this.parts = parts;
+    this.jobs = jobs;
+    this.term = term;
+    this.superseded = superseded;
+  }
+
+  void term(final Term present) {
+    term = present;
+  }
+
+  /** Runs an action as soon as everything that has changed until now is kept. */
+  void whenSaved(final Runnable action) {
+    waiters.add(action);
+    flush();
+  }
+
+  void flush() {
+    if (busy || closed || (waiters.isEmpty() && !jobs.hasUnsaved())) {
+      return;
+    }
+    final List<JobRun> batch = jobs.takeUnsaved(BATCH);
+    final List<Runnable> served =
+        jobs.hasUnsaved() ? List.of() : List.copyOf(waiters);
+    waiters.removeAll(served);
+    if (batch.isEmpty()) {
+      served.forEach(Runnable::run);
+      return;
+    }
+    Commit commit = Commit.empty().when(StoreKeys.TERM, term.revision());
+    final List<JobProgress> written = new ArrayList<>();
+    for (final JobRun job : batch) {
+      final JobProgress progress = job.progress();
+      written.add(progress);
+      commit = commit.write(StoreKeys.progress(job.id()), Documents.write(progress), 0);
+    }
+    busy = true;
+    send(commit, new Batch(batch, written, served, term));
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  /** Jobs of a commit with what was written of them and who waits for it. */
+  private record Batch(
+      List<JobRun> jobs, List<JobProgress> written, List<Runnable> waiters, Term term) {}
+
+  private void send(final Commit commit, final Batch batch) {
+    parts
+        .store()
+        .commit(commit)
+        .whenCompleteAsync(
+            (result, failure) -> {
+              if (!closed) {
+                judge(batch, result, failure);
+              }
+            },
+            parts.executor());
+  }
+
+  private void judge(final Batch batch, final CommitResult result, final Throwable failure) {
+    busy = false;
+    if (failure != null) {
+      batch.jobs().forEach(jobs::changed);
+      waiters.addAll(batch.waiters());
+      parts.executor().schedule(this::flush, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    if (!result.applied()) {
+      batch.jobs().forEach(jobs::changed);
+      waiters.addAll(batch.waiters());
+      if (batch.term().equals(term)) {
+        superseded.run();
+      } else {
+        flush();
+      }
+      return;
+    }
+    logFinal(batch);
+    batch.waiters().forEach(Runnable::run);
+    flush();
+  }
+
+  private void logFinal(final Batch batch) {
+    for (int i = 0; i < batch.jobs().size(); i++) {
+      final JobProgress progress = batch.written().get(i);
+      if (progress.state().isFinal()) {
+        final JobRun job = batch.jobs().get(i);
+        final long now = parts.time().nanos();
+        parts
+            .log()
+            .log(
+                "job-ended",
+                "job",
+                job.id(),
+                "queue",
+                job.queue().name(),
+                "state",
+                progress.state(),
+                "ageMs",
+                (now - job.arrivedAt()) / 1_000_000,
+                "slackMs",
+                (job.objectiveAt() - now) / 1_000_000);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -0,0 +1,110 @@
+package org.lentilsail.jobs;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.lentilsail.model.job.WorkerEntry;
+import org.lentilsail.store.Commit;
+
+/**
+ * Keeps in the store which workers may have been given work; a worker is admitted only after that.
+ * Owned by the control thread.
+ */
+final class Roster {
+  private static final long RETRY_MILLIS = 100;
+
+  private final ControlParts parts;
+  private final Consumer<WorkerEntry> admitted;
+  private final Runnable superseded;
+  private final Map<String, WorkerEntry> members = new LinkedHashMap<>();
+  private final List<WorkerEntry> waiting = new ArrayList<>();
+  private Term term;
+  private boolean dirty;
+  private boolean busy;
+  private boolean closed;
+
+  Roster(
+      final ControlParts parts,
+      final Term term,
+      final Consumer<WorkerEntry> admitted,
+      final Runnable superseded) {
+    this.parts = parts;
+    this.term = term;
+    this.admitted = admitted;
+    this.superseded = superseded;
+  }
+
+  void term(final Term present) {
+    term = present;
+  }
+
+  /** Takes over the members that an earlier holder has kept. */
+  void restore(final List<WorkerEntry> kept) {
+    kept.forEach(entry -> members.put(entry.id(), entry));
+  }
+
+  void admit(final WorkerEntry entry) {
+    if (members.containsKey(entry.id())) {
+      members.put(entry.id(), entry);
+      admitted.accept(entry);
+      return;
+    }
+    members.put(entry.id(), entry);
+    waiting.add(entry);
+    dirty = true;
+    write();
+  }
+
+  /** Removes a worker on which surely nothing runs; written with the next admission. */
+  void remove(final String id) {
+    members.remove(id);
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  private void write() {
+    if (busy || closed || !dirty) {
+      return;
+    }
+    busy = true;
+    dirty = false;
+    final List<WorkerEntry> written = List.copyOf(waiting);
+    waiting.clear();
+    final RosterDocument document =
+        new RosterDocument(members.values().stream().map(RosterDocument.Row::of).toList());
+    final Term used = term;
+    parts
+        .store()
+        .commit(
+            Commit.empty()
+                .when(StoreKeys.TERM, used.revision())
+                .write(StoreKeys.ROSTER, Documents.write(document), 0))
+        .whenCompleteAsync(
+            (result, failure) -> {
+              busy = false;
+              if (closed) {
+                return;
+              }
+              if (failure == null && result.applied()) {
+                written.forEach(admitted);
+                write();
+              } else if (failure == null && used.equals(term)) {
+                superseded.run();
+              } else {
+                again(written);
+              }
+            },
+            parts.executor());
+  }
+
+  private void again(final List<WorkerEntry> written) {
+    waiting.addAll(written);
+    dirty = true;
+    parts.executor().schedule(this::write, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/RosterDocument.java
@@ -0,0 +1,54 @@
+package org.lentilsail.jobs;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.lentilsail.model.job.Resources;
+import org.lentilsail.model.job.WorkerEntry;
+
+/**
+ * Workers that may have been given work. A new holder asks each of them before it repeats work.
+ *
+ * @param workers the workers
+ */
+record RosterDocument(List<Row> workers) {
+
+  RosterDocument {
+    workers = List.copyOf(workers);
+  }
+
+  /** A worker, with what is needed to ask it. */
+  record Row(
+      String id,
+      String service,
+      String host,
+      int port,
+      String zone,
+      Resources capacity,
+      List<String> labels,
+      long bornMillis) {
+
+    static Row of(final WorkerEntry entry) {
+      return new Row(
+          entry.id(),
+          entry.service(),
+          entry.address().getHostString(),
+          entry.address().getPort(),
+          entry.zone(),
+          entry.capacity(),
+          entry.labels(),
+          entry.bornMillis());
+    }
+
+    WorkerEntry entry() {
+      return new WorkerEntry(
+          id,
+          service,
+          InetSocketAddress.createUnresolved(host, port),
+          zone,
+          false,
+          capacity,
+          labels,
+          bornMillis);
+    }
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/TermDocument.java
@@ -0,0 +1,9 @@
+package org.lentilsail.jobs;
+
+/**
+ * The last term of control.
+ *
+ * @param term number of the term; the fencing token of all its orders
+ * @param holder id of the daemon that holds it
+ */
+record TermDocument(long term, String holder) {}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -0,0 +1,245 @@
+package org.lentilsail.jobs;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lentilsail.model.job.WaveRequest;
+import org.lentilsail.policy.job.Evacuation;
+import org.lentilsail.policy.job.Fleet;
+import org.lentilsail.policy.job.JobBook;
+import org.lentilsail.policy.job.MachineBook;
+import org.lentilsail.policy.job.RunLedger;
+import org.lentilsail.policy.job.Wave;
+import org.lentilsail.policy.job.WavePlanner;
+import org.lentilsail.policy.job.WorkerState;
+import org.lentilsail.store.Commit;
+import org.lentilsail.store.StoredItem;
+import org.lentilsail.worker.MachineAnswer;
+
+/**
+ * Carries out maintenance waves: keeps which machines are done, gives the orders and writes the
+ * status that operators read. Owned by the control thread.
+ */
+final class WaveRunner {
+  /** Time in ns between lists of machines while a wave runs. */
+  private static final long LIST_NANOS = 250_000_000L;
+
+  /** Time in ns after which a refused order is repeated. */
+  private static final long RETRY_NANOS = 400_000_000L;
+
+  /** Time in ns after which an order that was not answered is repeated. */
+  private static final long UNKNOWN_NANOS = 1_000_000_000L;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final ControlParts parts;
+  private final Fleet fleet;
+  private final RunLedger ledger;
+  private final Runnable changed;
+  private final MachineBook machines = new MachineBook();
+  private final WavePlanner planner;
+  private final Map<Long, Wave> waves = new LinkedHashMap<>();
+  private final Map<Long, List<String>> kept = new HashMap<>();
+  private final Map<Long, String> statusWritten = new HashMap<>();
+  private final Set<String> ordering = new HashSet<>();
+  private final long startedAt;
+  private boolean listing;
+  private boolean writing;
+  private boolean closed;
+  private long listedAt = Long.MIN_VALUE / 2;
+
+  WaveRunner(
+      final ControlParts parts,
+      final Fleet fleet,
+      final JobBook jobs,
+      final RunLedger ledger,
+      final Runnable changed) {
+    this.parts = parts;
+    this.fleet = fleet;
+    this.ledger = ledger;
+    this.changed = changed;
+    this.startedAt = parts.time().nanos();
+    this.planner = new WavePlanner(fleet, machines, new Evacuation(ledger, fleet, jobs));
+  }
+
+  /** Takes over which machines earlier holders have maintained. */
+  void restore(final List<StoredItem> items) {
+    for (final StoredItem item : items) {
+      Documents.<WaveDocument>read(Documents.WAVE, item)
+          .ifPresent(
+              document ->
+                  kept.put(
+                      Long.parseLong(item.key().substring(StoreKeys.WAVES.length())),
+                      document.machines()));
+    }
+  }
+
+  void requested(final WaveRequest request) {
+    if (waves.containsKey(request.number())) {
+      return;
+    }
+    final Wave wave = new Wave(request, parts.time().nanos());
+    final long earliestBack =
+        parts.time().nanos() + parts.bounds().upkeepMillis() * NANOS_PER_MILLI;
+    for (final String machine : kept.getOrDefault(request.number(), List.of())) {
+      wave.began(machine, "", earliestBack);
+    }
+    waves.put(request.number(), wave);
+    parts
+        .log()
+        .log(
+            "wave-requested",
+            "wave",
+            request.number(),
+            "machines",
+            request.machines().size(),
+            "atMost",
+            request.atMost(),
+            "durationMs",
+            request.durationMillis());
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  void tick(final long now, final Term term) {
+    if (waves.values().stream().allMatch(this::isClosed)) {
+      return;
+    }
+    list(now);
+    writeStatus(term);
+    if (now - startedAt < parts.bounds().machineLeaseMillis() * NANOS_PER_MILLI
+        && term.number() > 1) {
+      return;
+    }
+    for (final Wave wave : waves.values()) {
+      if (!wave.isComplete()) {
+        planner.plan(wave, now).forEach(upkeep -> order(upkeep, term));
+      }
+    }
+  }
+
+  private boolean isClosed(final Wave wave) {
+    return "completed".equals(statusWritten.get(wave.request().number()));
+  }
+
+  private void list(final long now) {
+    if (listing || now - listedAt < LIST_NANOS) {
+      return;
+    }
+    listing = true;
+    listedAt = now;
+    parts
+        .machines()
+        .list()
+        .whenCompleteAsync(
+            (present, failure) -> {
+              listing = false;
+              if (failure != null) {
+                parts.log().log("machine-list-failed", "reason", failure.getMessage());
+              } else {
+                machines.replace(present, now);
+              }
+            },
+            parts.executor());
+  }
+
+  private void order(final WavePlanner.Upkeep upkeep, final Term term) {
+    final String machine = upkeep.machine().id();
+    if (!ordering.add(machine)) {
+      return;
+    }
+    parts
+        .machines()
+        .maintain(machine, upkeep.wave().request().number(), term.number())
+        .whenCompleteAsync(
+            (answer, failure) -> {
+              ordering.remove(machine);
+              if (!closed) {
+                ordered(upkeep, answer);
+              }
+            },
+            parts.executor());
+  }
+
+  private void ordered(final WavePlanner.Upkeep upkeep, final MachineAnswer answer) {
+    final long now = parts.time().nanos();
+    final Wave wave = upkeep.wave();
+    final String machine = upkeep.machine().id();
+    final String worker = upkeep.machine().worker();
+    parts
+        .log()
+        .log(
+            "machine-maintain",
+            "machine",
+            machine,
+            "wave",
+            wave.request().number(),
+            "worker",
+            worker,
+            "answer",
+            answer);
+    switch (answer) {
+      case DONE -> {
+        wave.began(machine, worker, now + parts.bounds().upkeepMillis() * NANOS_PER_MILLI);
+        ended(worker, now);
+      }
+      case NOT_IN_WAVE, INVALID -> {
+        wave.skip(machine);
+        planner.release(worker);
+      }
+      case UNKNOWN -> wave.retry(machine, worker, true, now + UNKNOWN_NANOS);
+      default -> wave.retry(machine, worker, false, now + RETRY_NANOS);
+    }
+    changed.run();
+  }
+
+  private void ended(final String id, final long now) {
+    final WorkerState worker = fleet.worker(id);
+    if (worker != null) {
+      ledger.lost(worker, now);
+    }
+  }
+
+  /** Keeps what is done and writes the status, one wave at a time. */
+  private void writeStatus(final Term term) {
+    for (final Wave wave : waves.values()) {
+      final String wanted =
+          wave.isComplete() ? "completed" : "running " + wave.ordered().size();
+      if (!writing && !wanted.equals(statusWritten.get(wave.request().number()))) {
+        writeStatus(wave, wanted, term);
+      }
+    }
+  }
+
+  private void writeStatus(final Wave wave, final String wanted, final Term term) {
+    final long number = wave.request().number();
+    writing = true;
+    parts
+        .store()
+        .commit(
+            Commit.empty()
+                .when(StoreKeys.TERM, term.revision())
+                .write(
+                    StoreKeys.wave(number),
+                    Documents.write(new WaveDocument(List.copyOf(wave.ordered()))),
+                    0)
+                .write(
+                    parts.documents().waveStatusKey(number),
+                    parts.documents().waveStatus(wave.isComplete()),
+                    0))
+        .whenCompleteAsync(
+            (result, failure) -> {
+              writing = false;
+              if (failure == null && result.applied()) {
+                statusWritten.put(number, wanted);
+                parts.log().log("wave-status", "wave", number, "status", wanted);
+              }
+            },
+            parts.executor());
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/store/Commit.java
@@ -0,0 +1,88 @@
+package org.lentilsail.store;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Changes that are made together under conditions, or not at all.
+ *
+ * @param conditions what must hold
+ * @param writes what is written
+ * @param removals keys that are removed
+ */
+public record Commit(List<Condition> conditions, List<Write> writes, List<String> removals) {
+  /** Most conditions, writes and removals together that the store accepts. */
+  public static final int MAX_ENTRIES = 32;
+
+  /** Copies the lists, so that the commit cannot change. */
+  public Commit {
+    conditions = List.copyOf(conditions);
+    writes = List.copyOf(writes);
+    removals = List.copyOf(removals);
+  }
+
+  /**
+   * Asks for the last change of an item.
+   *
+   * @param key key of the item
+   * @param revision revision of its last change, 0 when it must not exist
+   */
+  public record Condition(String key, long revision) {}
+
+  /**
+   * Writes an item.
+   *
+   * @param key key of the item
+   * @param value its value
+   * @param lease lease with whose end the item is removed, 0 for none
+   */
+  public record Write(String key, byte[] value, long lease) {}
+
+  /**
+   * Starts an empty commit.
+   *
+   * @return the commit
+   */
+  public static Commit empty() {
+    return new Commit(List.of(), List.of(), List.of());
+  }
+
+  /**
+   * Adds a condition.
+   *
+   * @param key key of the item
+   * @param revision revision of its last change, 0 when it must not exist
+   * @return the larger commit
+   */
+  public Commit when(final String key, final long revision) {
+    return new Commit(with(conditions, new Condition(key, revision)), writes, removals);
+  }
+
+  /**
+   * Adds a write.
+   *
+   * @param key key of the item
+   * @param value its value
+   * @param lease lease with whose end the item is removed, 0 for none
+   * @return the larger commit
+   */
+  public Commit write(final String key, final byte[] value, final long lease) {
+    return new Commit(conditions, with(writes, new Write(key, value, lease)), removals);
+  }
+
+  /**
+   * Adds a removal.
+   *
+   * @param key key of the item
+   * @return the larger commit
+   */
+  public Commit remove(final String key) {
+    return new Commit(conditions, writes, with(removals, key));
+  }
+
+  private static <T> List<T> with(final List<T> list, final T element) {
+    final List<T> larger = new ArrayList<>(list);
+    larger.add(element);
+    return larger;
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/store/CommitResult.java
@@ -0,0 +1,18 @@
+package org.lentilsail.store;
+
+import java.util.List;
+
+/**
+ * Outcome of a commit that the store has judged.
+ *
+ * @param applied whether all changes were made; otherwise none was
+ * @param revision revision of the changes, 0 when none was made
+ * @param present items of the conditions as they are, when a condition did not hold
+ */
+public record CommitResult(boolean applied, long revision, List<StoredItem> present) {
+
+  /** Copies the list, so that the result cannot change. */
+  public CommitResult {
+    present = List.copyOf(present);
+  }
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/worker/MachineClient.java
@@ -0,0 +1,35 @@
+package org.lentilsail.worker;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.lentilsail.model.job.Machine;
+
+/** Gives orders about machines to the platform. Thread-safe. */
+public interface MachineClient {
+  /**
+   * Lists all machines.
+   *
+   * @return the machines; fails with {@code LentilsailException}
+   */
+  CompletableFuture<List<Machine>> list();
+
+  /**
+   * Moves a machine to another pool; everything on it ends at once.
+   *
+   * @param machine id of the machine
+   * @param pool name of the service that gets it
+   * @param token fencing token of the holder
+   * @return what became of it; never fails
+   */
+  CompletableFuture<MachineAnswer> move(String machine, String pool, long token);
+
+  /**
+   * Maintains a machine; everything on it ends at once.
+   *
+   * @param machine id of the machine
+   * @param wave number of the wave
+   * @param token fencing token of the holder
+   * @return what became of it; never fails
+   */
+  CompletableFuture<MachineAnswer> maintain(String machine, long wave, long token);
+}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/worker/package-info.java
@@ -0,0 +1,2 @@
+/** Orders to workers and machines, and their answers. */
+package org.lentilsail.worker;
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/Evacuation.java
@@ -0,0 +1,72 @@
+package org.lentilsail.policy.job;
+
+import java.util.List;
+
+/**
+ * Empties a worker whose machine is to be maintained or moved: new work goes elsewhere, tasks that
+ * last are moved one by one within their availability budget, and short tasks may end for some time
+ * before they are stopped.
+ */
+public final class Evacuation {
+  /** Time in ns that short tasks get to end; most take less than that. */
+  private static final long PATIENCE_NANOS = 1_200_000_000L;
+
+  /** Time in ns after which a task that lasts is stopped although no other worker has room. */
+  private static final long NO_ROOM_NANOS = 2_000_000_000L;
+
+  private final RunLedger ledger;
+  private final Fleet fleet;
+  private final JobBook jobs;
+
+  /**
+   * Creates an evacuation.
+   *
+   * @param ledger follows the runs
+   * @param fleet all workers
+   * @param jobs all jobs
+   */
+  public Evacuation(final RunLedger ledger, final Fleet fleet, final JobBook jobs) {
+    this.ledger = ledger;
+    this.fleet = fleet;
+    this.jobs = jobs;
+  }
+
+  /**
+   * Takes the next steps.
+   *
+   * @param worker the worker to be emptied
+   * @param since monotonic time in ns at which it got its last work
+   * @param now monotonic time in ns
+   * @return whether nothing occupies the worker any more
+   */
+  public boolean advance(final WorkerState worker, final long since, final long now) {
+    for (final TaskRun run : List.copyOf(worker.runs())) {
+      if (run.phase() == RunPhase.RUNNING) {
+        advanceRun(run, now - since, now);
+      }
+    }
+    return worker.runs().isEmpty();
+  }
+
+  private void advanceRun(final TaskRun run, final long elapsed, final long now) {
+    final boolean lasting = run.task().step().spec().longRunning();
+    if (!lasting) {
+      if (elapsed >= PATIENCE_NANOS) {
+        ledger.stop(run, "its worker is being emptied");
+      }
+    } else if (Availability.mayEnd(run, now)
+        && (elapsed >= NO_ROOM_NANOS || hasRoomElsewhere(run, now))) {
+      ledger.stop(run, "its worker is being emptied");
+    }
+  }
+
+  private boolean hasRoomElsewhere(final TaskRun run, final long now) {
+    final StepRun step = run.task().step();
+    for (final WorkerState other : fleet.ofService(jobs.serviceOf(step.job()))) {
+      if (other != run.worker() && other.isUsable(now) && Placement.fits(step, other)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobBook.java
@@ -0,0 +1,248 @@
+package org.lentilsail.policy.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lentilsail.model.job.JobConfiguration;
+import org.lentilsail.model.job.JobProgress;
+import org.lentilsail.model.job.JobState;
+import org.lentilsail.model.job.QueueSpec;
+import org.lentilsail.model.job.SubmittedJob;
+import org.lentilsail.model.job.TaskId;
+
+/** All jobs that the holder knows; owned by the control thread. */
+public final class JobBook {
+  /** Attempts of a job whose queue is in no configuration that this process has seen. */
+  private static final int DEFAULT_ATTEMPTS = 4;
+
+  /** Oldest age in ns that a submission is given; clocks of VMs may differ by seconds. */
+  private static final long MAX_AGE_NANOS = 60_000_000_000L;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final Map<String, JobRun> jobs = new LinkedHashMap<>();
+  private final Set<JobRun> active = new LinkedHashSet<>();
+  private final Set<JobRun> unsaved = new LinkedHashSet<>();
+  private JobConfiguration configuration = new JobConfiguration(0, List.of(), List.of(), 0);
+
+  /**
+   * Puts a configuration in force.
+   *
+   * @param present the configuration
+   */
+  public void configuration(final JobConfiguration present) {
+    configuration = present;
+    for (final JobRun job : active) {
+      present.queue(job.submitted().queue()).ifPresent(job::queue);
+    }
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration
+   */
+  public JobConfiguration configuration() {
+    return configuration;
+  }
+
+  /**
+   * Takes in a job.
+   *
+   * @param submitted the job
+   * @param ageMillis time since its acceptance in ms
+   * @param now monotonic time in ns
+   * @return the job, also when it was known before
+   */
+  public JobRun accept(final SubmittedJob submitted, final long ageMillis, final long now) {
+    final JobRun known = jobs.get(submitted.spec().id());
+    if (known != null) {
+      return known;
+    }
+    final long age = Math.min(Math.max(ageMillis, 0) * NANOS_PER_MILLI, MAX_AGE_NANOS);
+    final JobRun job = new JobRun(submitted, queueOf(submitted), now - age);
+    jobs.put(job.id(), job);
+    active.add(job);
+    if (!submitted.spec().timed()) {
+      job.begin(0, now);
+    }
+    return job;
+  }
+
+  /**
+   * Restores what was kept of a job.
+   *
+   * @param id id of the job
+   * @param progress what was kept
+   * @param now monotonic time in ns
+   */
+  public void restore(final String id, final JobProgress progress, final long now) {
+    final JobRun job = jobs.get(id);
+    if (job != null) {
+      job.restore(progress, now);
+      retire(job);
+    }
+  }
+
+  /**
+   * Cancels a job.
+   *
+   * @param id id of the job
+   * @param wallMillis wall clock time in ms since the Unix epoch
+   * @return the job when it was cancelled by this call, null when it had ended or is not known
+   */
+  public JobRun cancel(final String id, final long wallMillis) {
+    final JobRun job = jobs.get(id);
+    if (job == null || job.state().isFinal()) {
+      return null;
+    }
+    finish(job, JobState.CANCELLED, wallMillis);
+    return job;
+  }
+
+  /**
+   * Begins the occurrences whose time has come.
+   *
+   * @param wallMillis wall clock time in ms since the Unix epoch
+   * @param now monotonic time in ns
+   */
+  public void beginDue(final long wallMillis, final long now) {
+    for (final JobRun job : active) {
+      final var spec = job.submitted().spec();
+      while (!job.state().isFinal()
+          && spec.timed()
+          && job.nextOccurrence() < spec.maxRuns()
+          && spec.firstRunMillis() + job.nextOccurrence() * spec.intervalMillis() <= wallMillis) {
+        job.begin(job.nextOccurrence(), now);
+      }
+    }
+  }
+
+  /**
+   * Finds a job.
+   *
+   * @param id id of the job
+   * @return the job, null when it is not known
+   */
+  public JobRun job(final String id) {
+    return jobs.get(id);
+  }
+
+  /**
+   * Finds a task.
+   *
+   * @param id name of the task
+   * @return the task, null when it is not known
+   */
+  public Task task(final TaskId id) {
+    final JobRun job = jobs.get(id.job());
+    return job == null ? null : job.task(id);
+  }
+
+  /**
+   * Returns the jobs that have not ended.
+   *
+   * @return the jobs in the order of their acceptance
+   */
+  public Collection<JobRun> active() {
+    return Collections.unmodifiableSet(active);
+  }
+
+  /**
+   * Returns all jobs.
+   *
+   * @return the jobs in the order of their acceptance
+   */
+  public Collection<JobRun> all() {
+    return Collections.unmodifiableCollection(jobs.values());
+  }
+
+  /**
+   * Returns the name of the service that runs a job.
+   *
+   * @param job the job
+   * @return name of the service
+   */
+  public String serviceOf(final JobRun job) {
+    return job.queue().service();
+  }
+
+  /**
+   * Takes the jobs whose progress has changed.
+   *
+   * @param limit most jobs
+   * @return the jobs; they count as saved from now on
+   */
+  public List<JobRun> takeUnsaved(final int limit) {
+    final List<JobRun> taken = new ArrayList<>();
+    final var iterator = unsaved.iterator();
+    while (iterator.hasNext() && taken.size() < limit) {
+      taken.add(iterator.next());
+      iterator.remove();
+    }
+    return taken;
+  }
+
+  /**
+   * Marks the progress of a job as changed.
+   *
+   * @param job the job
+   */
+  public void changed(final JobRun job) {
+    unsaved.add(job);
+  }
+
+  /**
+   * Tells whether any progress is to be saved.
+   *
+   * @return whether some job has changed
+   */
+  public boolean hasUnsaved() {
+    return !unsaved.isEmpty();
+  }
+
+  /**
+   * Forgets a job that has ended long ago.
+   *
+   * @param id id of the job
+   */
+  public void forget(final String id) {
+    final JobRun job = jobs.remove(id);
+    active.remove(job);
+    unsaved.remove(job);
+  }
+
+  void finish(final JobRun job, final JobState state, final long wallMillis) {
+    job.finish(state, wallMillis);
+    retire(job);
+    changed(job);
+  }
+
+  void retire(final JobRun job) {
+    if (job.state().isFinal()) {
+      active.remove(job);
+    }
+  }
+
+  private QueueSpec queueOf(final SubmittedJob submitted) {
+    return configuration
+        .queue(submitted.queue())
+        .orElseGet(
+            () ->
+                new QueueSpec(
+                    submitted.queue(),
+                    "",
+                    "",
+                    submitted.service(),
+                    0,
+                    DEFAULT_ATTEMPTS,
+                    1,
+                    0,
+                    false));
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobOrder.java
@@ -0,0 +1,40 @@
+package org.lentilsail.policy.job;
+
+import java.util.Comparator;
+
+/**
+ * Orders the steps that wait for workers. Tasks that last come first, because they must be back
+ * within seconds; then queues by priority; then jobs that can still meet their objective, the one
+ * with the least work left first, so that a peak delays as few jobs as possible; then late jobs in
+ * the same order.
+ */
+final class JobOrder {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** Position of a step. */
+  record Rank(StepRun step, int lasting, int priority, int late, double workLeft, long arrivedAt) {}
+
+  /** Compares positions. */
+  static final Comparator<Rank> COMPARATOR =
+      Comparator.comparingInt(Rank::lasting)
+          .thenComparingInt(Rank::priority)
+          .thenComparingInt(Rank::late)
+          .thenComparingDouble(Rank::workLeft)
+          .thenComparingLong(Rank::arrivedAt)
+          .thenComparingInt(rank -> rank.step().number());
+
+  private JobOrder() {}
+
+  static Rank rank(final StepRun step, final long now) {
+    final JobRun job = step.job();
+    final boolean lasting = step.spec().longRunning();
+    final long expectedEnd = now + job.chainLeftMillis() * NANOS_PER_MILLI;
+    return new Rank(
+        step,
+        lasting ? (step.spec().fills() ? 1 : 0) : 2,
+        job.queue().priority(),
+        !lasting && expectedEnd > job.objectiveAt() ? 1 : 0,
+        lasting ? 0 : job.workLeft(),
+        job.arrivedAt());
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -0,0 +1,138 @@
+package org.lentilsail.policy.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Decides which waiting tasks start now, and where. Owned by the control thread. */
+public final class Scheduler {
+  private final JobBook jobs;
+  private final Fleet fleet;
+  private final RunLedger ledger;
+  private final RecoveryGate gate;
+
+  /**
+   * Creates a scheduler.
+   *
+   * @param jobs all jobs
+   * @param fleet all workers
+   * @param ledger follows the runs
+   * @param gate holds back work after a change of the holder
+   */
+  public Scheduler(
+      final JobBook jobs, final Fleet fleet, final RunLedger ledger, final RecoveryGate gate) {
+    this.jobs = jobs;
+    this.fleet = fleet;
+    this.ledger = ledger;
+    this.gate = gate;
+  }
+
+  /**
+   * Starts everything that fits.
+   *
+   * @param now monotonic time in ns
+   * @return the starts, the most urgent first
+   */
+  public List<Order.Start> place(final long now) {
+    final List<Order.Start> starts = new ArrayList<>();
+    final Map<String, List<WorkerState>> workers = new HashMap<>();
+    for (final JobOrder.Rank rank : waiting(now)) {
+      final StepRun step = rank.step();
+      final List<WorkerState> candidates =
+          workers.computeIfAbsent(jobs.serviceOf(step.job()), fleet::ofService);
+      if (step.spec().gang()) {
+        placeGang(step, candidates, now, starts);
+      } else {
+        placeTasks(step, candidates, now, starts);
+      }
+    }
+    return starts;
+  }
+
+  /**
+   * Returns the steps that wait for workers.
+   *
+   * @param now monotonic time in ns
+   * @return the steps, the most urgent first
+   */
+  List<JobOrder.Rank> waiting(final long now) {
+    final List<JobOrder.Rank> ranks = new ArrayList<>();
+    for (final JobRun job : jobs.active()) {
+      if (gate.blocks(job, jobs.serviceOf(job))) {
+        continue;
+      }
+      for (final StepRun step : job.steps()) {
+        if (!step.isDone() && job.isReady(step) && hasWaiting(step)) {
+          ranks.add(JobOrder.rank(step, now));
+        }
+      }
+    }
+    ranks.sort(JobOrder.COMPARATOR);
+    return ranks;
+  }
+
+  private static boolean hasWaiting(final StepRun step) {
+    for (final Task task : step.tasks()) {
+      if (task.isWaiting()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void placeTasks(
+      final StepRun step,
+      final List<WorkerState> candidates,
+      final long now,
+      final List<Order.Start> starts) {
+    for (final Task task : step.tasks()) {
+      if (!task.isWaiting()) {
+        continue;
+      }
+      final WorkerState worker = Placement.choose(task, candidates, now);
+      if (worker != null) {
+        starts.add(new Order.Start(ledger.start(task, worker, 0, now)));
+      } else if (task.failures() == 0) {
+        return;
+      }
+    }
+  }
+
+  private void placeGang(
+      final StepRun step,
+      final List<WorkerState> candidates,
+      final long now,
+      final List<Order.Start> starts) {
+    if (!step.tasks().stream().allMatch(Task::isWaiting)) {
+      return;
+    }
+    final List<WorkerState> chosen = GangPlacement.choose(step, candidates, now);
+    if (chosen.isEmpty()) {
+      return;
+    }
+    final Task first = step.tasks().get(0);
+    int number = 0;
+    for (final Task task : step.tasks()) {
+      first.noteRun(task.lastRun());
+    }
+    final String saved = commonCheckpoint(step);
+    for (int i = 0; i < chosen.size(); i++) {
+      final Task task = step.tasks().get(i);
+      task.restore(false, task.failures(), saved);
+      final TaskRun run = ledger.start(task, chosen.get(i), number, now);
+      number = run.number();
+      starts.add(new Order.Start(run));
+    }
+  }
+
+  /** All members must carry the same checkpoint; that of any member is valid for all. */
+  private static String commonCheckpoint(final StepRun step) {
+    for (final Task task : step.tasks()) {
+      if (!task.checkpoint().isEmpty()) {
+        return task.checkpoint();
+      }
+    }
+    return "";
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
@@ -0,0 +1,119 @@
+package org.lentilsail.policy.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.lentilsail.model.job.StepSpec;
+import org.lentilsail.model.job.TaskId;
+
+/** The tasks of one step in one occurrence of a job; owned by the control thread. */
+public final class StepRun {
+  private final JobRun job;
+  private final int occurrence;
+  private final int number;
+  private final StepSpec spec;
+  private final List<Task> tasks;
+  private int done;
+
+  StepRun(
+      final JobRun job,
+      final int occurrence,
+      final int number,
+      final StepSpec spec,
+      final long now) {
+    this.job = job;
+    this.occurrence = occurrence;
+    this.number = number;
+    this.spec = spec;
+    this.tasks = new ArrayList<>(spec.count());
+    for (int index = 0; index < spec.count(); index++) {
+      tasks.add(new Task(new TaskId(job.id(), occurrence, number, index), this, now));
+    }
+  }
+
+  /**
+   * Returns the job.
+   *
+   * @return the job that the step belongs to
+   */
+  public JobRun job() {
+    return job;
+  }
+
+  /**
+   * Returns the description.
+   *
+   * @return the step as it was submitted
+   */
+  public StepSpec spec() {
+    return spec;
+  }
+
+  /**
+   * Returns the tasks.
+   *
+   * @return all tasks in the order of their numbers
+   */
+  public List<Task> tasks() {
+    return tasks;
+  }
+
+  /**
+   * Returns the number of the step.
+   *
+   * @return the number, from 0
+   */
+  public int number() {
+    return number;
+  }
+
+  /**
+   * Returns the number of the occurrence.
+   *
+   * @return the number, from 0
+   */
+  public int occurrence() {
+    return occurrence;
+  }
+
+  /**
+   * Tells whether all tasks are done.
+   *
+   * @return whether nothing is left
+   */
+  public boolean isDone() {
+    return done == spec.count();
+  }
+
+  /**
+   * Returns how many tasks are not done.
+   *
+   * @return tasks that wait or run
+   */
+  public int left() {
+    return spec.count() - done;
+  }
+
+  /**
+   * Counts the tasks that run on a worker.
+   *
+   * @param worker the worker
+   * @return runs of the step there, whatever their phase
+   */
+  public int runsOn(final WorkerState worker) {
+    int count = 0;
+    for (final TaskRun run : worker.runs()) {
+      if (run.task().step() == this) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  void taskDone() {
+    done++;
+  }
+
+  void recount() {
+    done = (int) tasks.stream().filter(Task::isDone).count();
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/Wave.java
@@ -0,0 +1,132 @@
+package org.lentilsail.policy.job;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.lentilsail.model.job.Machine;
+import org.lentilsail.model.job.MachineState;
+import org.lentilsail.model.job.WaveRequest;
+
+/** One wave of maintenance and how far it has come; owned by the control thread. */
+public final class Wave {
+  private final WaveRequest request;
+  private final long receivedAt;
+  private final Set<String> ordered = new LinkedHashSet<>();
+  private final Map<String, Down> down = new HashMap<>();
+  private final Map<String, Long> retryAt = new HashMap<>();
+
+  /** A machine that is down for its maintenance. */
+  private record Down(String worker, long earliestBack) {}
+
+  /**
+   * Creates a wave of which nothing has been done.
+   *
+   * @param request what the operator asked for
+   * @param receivedAt monotonic time in ns at which it became known
+   */
+  public Wave(final WaveRequest request, final long receivedAt) {
+    this.request = request;
+    this.receivedAt = receivedAt;
+  }
+
+  /**
+   * Returns the request.
+   *
+   * @return what the operator asked for
+   */
+  public WaveRequest request() {
+    return request;
+  }
+
+  /**
+   * Returns the machines whose maintenance has begun.
+   *
+   * @return ids of the machines
+   */
+  public Set<String> ordered() {
+    return ordered;
+  }
+
+  long receivedAt() {
+    return receivedAt;
+  }
+
+  /**
+   * Records that the maintenance of a machine has begun.
+   *
+   * @param machine id of the machine
+   * @param worker id of the worker that ended with it, empty for none
+   * @param earliestBack monotonic time in ns before which the machine cannot be back
+   */
+  public void began(final String machine, final String worker, final long earliestBack) {
+    ordered.add(machine);
+    down.put(machine, new Down(worker, earliestBack));
+    retryAt.remove(machine);
+  }
+
+  /**
+   * Records that a machine needs no maintenance of this wave.
+   *
+   * @param machine id of the machine
+   */
+  public void skip(final String machine) {
+    ordered.add(machine);
+    down.remove(machine);
+  }
+
+  /**
+   * Records that an order was refused or not answered.
+   *
+   * @param machine id of the machine
+   * @param worker id of its worker, empty for none
+   * @param maybeBegun whether the order may have been carried out
+   * @param time monotonic time in ns from which the order may be repeated
+   */
+  public void retry(
+      final String machine, final String worker, final boolean maybeBegun, final long time) {
+    retryAt.put(machine, time);
+    if (maybeBegun) {
+      down.put(machine, new Down(worker, time));
+    } else {
+      down.remove(machine);
+    }
+  }
+
+  /**
+   * Tells whether all machines are maintained.
+   *
+   * @return whether the maintenance of each has begun
+   */
+  public boolean isComplete() {
+    return ordered.containsAll(request.machines());
+  }
+
+  /**
+   * Counts the machines that are down for the wave.
+   *
+   * @param machines the last list of machines
+   * @return machines whose maintenance has begun and that have not come back
+   */
+  int down(final MachineBook machines) {
+    down.entrySet()
+        .removeIf(entry -> ordered.contains(entry.getKey()) && isBack(entry, machines));
+    return down.size();
+  }
+
+  boolean mayOrder(final String machine, final long now) {
+    return !ordered.contains(machine) && now >= retryAt.getOrDefault(machine, Long.MIN_VALUE);
+  }
+
+  private static boolean isBack(
+      final Map.Entry<String, Down> entry, final MachineBook machines) {
+    if (machines.askedAt() < entry.getValue().earliestBack()) {
+      return false;
+    }
+    final Machine machine = machines.machine(entry.getKey());
+    return machine == null
+        || (machine.state() == MachineState.UP
+            && (machine.worker().isEmpty()
+                || !machine.worker().equals(entry.getValue().worker())));
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -0,0 +1,240 @@
+package org.lentilsail.policy.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.lentilsail.model.job.Resources;
+import org.lentilsail.model.job.WorkerEntry;
+
+/** One life of a worker with what runs on it; owned by the control thread. */
+public final class WorkerState {
+  private final List<TaskRun> runs = new ArrayList<>();
+  private final WorkerClock clock = new WorkerClock();
+  private final WorkerHealth health = new WorkerHealth();
+  private WorkerEntry entry;
+  private boolean listed = true;
+  private boolean synced;
+  private boolean answering;
+  private boolean cordoned;
+  private long leaseUntil;
+  private long endsSeen;
+  private long noRoomUntil = Long.MIN_VALUE;
+  private Resources reserved = Resources.NONE;
+
+  /**
+   * Creates the state of a worker of which nothing is known.
+   *
+   * @param entry what the worker reports of itself
+   */
+  public WorkerState(final WorkerEntry entry) {
+    this.entry = entry;
+  }
+
+  /**
+   * Returns the id.
+   *
+   * @return id of the worker
+   */
+  public String id() {
+    return entry.id();
+  }
+
+  /**
+   * Returns the report.
+   *
+   * @return what the worker last reported of itself
+   */
+  public WorkerEntry entry() {
+    return entry;
+  }
+
+  /**
+   * Replaces the report.
+   *
+   * @param present what the worker now reports of itself
+   */
+  public void entry(final WorkerEntry present) {
+    entry = present;
+    listed = true;
+  }
+
+  /**
+   * Returns the runs.
+   *
+   * @return all runs that may occupy the worker
+   */
+  public Collection<TaskRun> runs() {
+    return runs;
+  }
+
+  /**
+   * Returns the clock.
+   *
+   * @return estimate of the worker's clock
+   */
+  public WorkerClock clock() {
+    return clock;
+  }
+
+  /**
+   * Tells whether the worker stands in the registry.
+   *
+   * @return false from the removal of its entry
+   */
+  public boolean isListed() {
+    return listed;
+  }
+
+  /** Records that the entry has been removed from the registry. */
+  public void unlisted() {
+    listed = false;
+  }
+
+  /**
+   * Tells whether the present holder has seen the runs of the worker.
+   *
+   * @return whether orders may be sent
+   */
+  public boolean isSynced() {
+    return synced;
+  }
+
+  /**
+   * Tells whether the last look was answered.
+   *
+   * @return false from the first call without an answer until the next answer
+   */
+  public boolean isAnswering() {
+    return answering;
+  }
+
+  /**
+   * Records whether a call was answered.
+   *
+   * @param value whether it was
+   */
+  public void answering(final boolean value) {
+    answering = value;
+  }
+
+  /**
+   * Tells whether the worker is being emptied.
+   *
+   * @return whether it gets no new work
+   */
+  public boolean isCordoned() {
+    return cordoned;
+  }
+
+  /**
+   * Begins or ends the emptying of the worker.
+   *
+   * @param value whether it gets no new work
+   */
+  public void cordoned(final boolean value) {
+    cordoned = value;
+  }
+
+  /**
+   * Returns the end of the lease of all runs.
+   *
+   * @return latest expiry that was sent, in ms on the clock of the worker
+   */
+  public long leaseUntil() {
+    return leaseUntil;
+  }
+
+  /**
+   * Records an expiry that was sent.
+   *
+   * @param workerMillis expiry in ms on the clock of the worker
+   */
+  public void leaseUntil(final long workerMillis) {
+    leaseUntil = Math.max(leaseUntil, workerMillis);
+  }
+
+  /**
+   * Returns the number of the last end that was taken in.
+   *
+   * @return the number, 0 before the first one
+   */
+  public long endsSeen() {
+    return endsSeen;
+  }
+
+  /**
+   * Records that the worker rejected a start for want of room.
+   *
+   * @param until monotonic time in ns until which it gets no work
+   */
+  public void noRoom(final long until) {
+    noRoomUntil = until;
+  }
+
+  /**
+   * Returns what is free.
+   *
+   * @return capacity less what all runs reserve
+   */
+  public Resources free() {
+    return entry.capacity().minus(reserved);
+  }
+
+  /**
+   * Tells whether the worker may get work.
+   *
+   * @param now monotonic time in ns
+   * @return whether nothing speaks against it
+   */
+  public boolean isUsable(final long now) {
+    return listed
+        && synced
+        && answering
+        && !cordoned
+        && !entry.draining()
+        && now >= noRoomUntil
+        && !health.isResting(now)
+        && (!health.onProbation() || runs.isEmpty());
+  }
+
+  /**
+   * Tells whether the worker carries a label.
+   *
+   * @param label the label
+   * @return whether it is among the labels of the worker
+   */
+  public boolean hasLabel(final String label) {
+    return entry.labels().contains(label);
+  }
+
+  WorkerHealth health() {
+    return health;
+  }
+
+  void synced() {
+    synced = true;
+  }
+
+  void endsSeen(final long number) {
+    endsSeen = number;
+  }
+
+  void add(final TaskRun run) {
+    runs.add(run);
+    reserved = reserved.plus(run.reserved());
+  }
+
+  void remove(final TaskRun run) {
+    if (runs.remove(run)) {
+      reserved = reserved.minus(run.reserved());
+    }
+  }
+
+  /** Forgets everything that an earlier life of the worker knew. */
+  void startAnew() {
+    clock.reset();
+    leaseUntil = 0;
+    endsSeen = 0;
+    synced = false;
+  }
+}
