--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -19,12 +19,21 @@
 import org.lentilsail.store.StoredItem;
 
 /**
- * Elects the holder of control through the store: an item that goes with the lease of the holder, and
- * an item that counts the terms. Owned by the control thread.
+ * Elects the holder of control through the store: an item that goes with the lease of the holder,
+ * and an item that counts the terms. Owned by the control thread.
  */
 final class Election implements PrefixListener {
-  /** Longest pause in ms before a claim, so that daemons rarely collide. */
-  private static final int CLAIM_SPREAD_MILLIS = 30;
+  /** Longest random pause in ms before a claim, so that daemons rarely collide. */
+  private static final int CLAIM_SPREAD_MILLIS = 12;
+
+  /**
+   * Pause in ms for each second that the daemon has run. A rolling restart stops the daemons that
+   * have run longest next, so a daemon that has just started should hold control.
+   */
+  private static final double CLAIM_MILLIS_PER_SECOND = 1.5;
+
+  /** Longest pause in ms for the time that the daemon has run. */
+  private static final long CLAIM_AGE_MILLIS = 45;
 
   /** Pause in ms before a failed claim is repeated. */
   private static final long CLAIM_RETRY_MILLIS = 120;
@@ -40,6 +49,7 @@
   private final HolderLease lease;
   private final TermListener listener;
   private final PrefixFollower follower;
+  private final long createdAt;
   private boolean loaded;
   private boolean holderPresent;
   private boolean claiming;
@@ -62,6 +72,7 @@
     this.time = time;
     this.log = log;
     this.listener = listener;
+    this.createdAt = time.nanos();
     this.lease = new HolderLease(store, executor, time, log, timeToLive, this::leaseEnded);
     this.follower =
         new PrefixFollower(store, StoreKeys.ELECTION, this, executor, time, WATCH_INTERVAL);
@@ -121,13 +132,18 @@
   @Override
   public void settled() {
     if (loaded && !holderPresent && !claiming && !resigned) {
-      final long pause =
-          own != null ? 0 : ThreadLocalRandom.current().nextInt(CLAIM_SPREAD_MILLIS);
+      final long pause = own != null ? 0 : claimPause();
       claiming = true;
       executor.schedule(this::claim, pause, TimeUnit.MILLISECONDS);
     }
   }
 
+  private long claimPause() {
+    final double seconds = (time.nanos() - createdAt) / 1e9;
+    return ThreadLocalRandom.current().nextInt(CLAIM_SPREAD_MILLIS)
+        + Math.min((long) (seconds * CLAIM_MILLIS_PER_SECOND), CLAIM_AGE_MILLIS);
+  }
+
   private void take(final String key, final Optional<StoredItem> item) {
     if (key.equals(StoreKeys.HOLDER)) {
       holderPresent = item.isPresent();
@@ -204,10 +220,7 @@
   }
 
   private void judge(
-      final CommitResult result,
-      final GrantedLease granted,
-      final long sentAt,
-      final long number) {
+      final CommitResult result, final GrantedLease granted, final long sentAt, final long number) {
     if (result.applied()) {
       won(granted, sentAt, number, result.revision());
       return;
--- a/library/src/main/java/org/lentilsail/jobs/HolderLease.java
+++ b/library/src/main/java/org/lentilsail/jobs/HolderLease.java
@@ -21,8 +21,8 @@
   private static final long MARGIN_NANOS = 150_000_000L;
 
   /**
-   * Difference in ns between the clocks above which the VM may have been suspended: the steady clock
-   * does not count a suspension, the wall clock does.
+   * Difference in ns between the clocks above which the VM may have been suspended: the steady
+   * clock does not count a suspension, the wall clock does.
    */
   private static final long SUSPENSION_NANOS = 400_000_000L;
 
@@ -143,10 +143,7 @@
   }
 
   private void judge(
-      final Boolean alive,
-      final Throwable failure,
-      final long sentAt,
-      final long sentWallMillis) {
+      final Boolean alive, final Throwable failure, final long sentAt, final long sentWallMillis) {
     if (failure != null) {
       if (!failing) {
         failing = true;
--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.lentilsail.model.job.JobState;
 import org.lentilsail.policy.job.JobBook;
 import org.lentilsail.policy.job.JobRun;
 import org.lentilsail.store.Commit;
@@ -48,7 +47,7 @@
   private void publish(final long now, final Term term) {
     final Map<String, Integer> counts = new HashMap<>();
     for (final JobRun job : jobs.active()) {
-      if (job.state() == JobState.PENDING && !job.submitted().spec().timed()) {
+      if (!job.hasBegun() && !job.submitted().spec().timed()) {
         counts.merge(job.submitted().queue(), 1, Integer::sum);
       }
     }
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -87,18 +87,13 @@
     scheduler = new Scheduler(jobs, fleet, ledger, gate);
     writer = new ProgressWriter(parts, jobs, term, election::superseded);
     roster = new Roster(parts, term, this::admitted, election::superseded);
-    waves = new WaveRunner(parts, fleet, jobs, ledger, this::changed);
+    waves = new WaveRunner(parts, fleet, jobs, ledger, this::changed, this::forget);
     housekeeping = new Housekeeping(parts, jobs);
     input = new JobInput(parts, jobs, ledger, this::inputLoaded, this::changed);
     registry = new WorkerRegistry(parts, this, this::registryLoaded);
     inputFollower =
         new PrefixFollower(
-            parts.store(),
-            StoreKeys.INPUT,
-            input,
-            parts.executor(),
-            parts.time(),
-            INPUT_INTERVAL);
+            parts.store(), StoreKeys.INPUT, input, parts.executor(), parts.time(), INPUT_INTERVAL);
     registryFollower =
         new PrefixFollower(
             parts.store(),
@@ -153,8 +148,7 @@
 
   @Override
   public boolean isStoreDoubtful() {
-    return parts.time().nanos() - inputFollower.contactAt()
-        > Duration.ofMillis(1_800).toNanos();
+    return parts.time().nanos() - inputFollower.contactAt() > Duration.ofMillis(1_800).toNanos();
   }
 
   @Override
@@ -217,9 +211,7 @@
     final WorkerState worker = fleet.worker(id);
     if (worker != null) {
       worker.unlisted();
-      if (worker.runs().isEmpty()) {
-        forget(id);
-      }
+      forgetWhenEmpty(worker);
     }
   }
 
@@ -260,8 +252,7 @@
       services.put(entry.id(), entry.service());
       reported.putIfAbsent(entry.id(), entry);
     }
-    final long lease =
-        (long) (parts.bounds().maxLeaseMillis() * LEASE_MARGIN * NANOS_PER_MILLI);
+    final long lease = (long) (parts.bounds().maxLeaseMillis() * LEASE_MARGIN * NANOS_PER_MILLI);
     gate.close(services, claimedAt, lease);
     registry.expect(services.keySet());
   }
@@ -281,20 +272,18 @@
       return;
     }
     open = true;
-    parts
-        .log()
-        .log(
-            "control-open",
-            "term",
-            term.number(),
-            "jobs",
-            jobs.active().size(),
-            "workers",
-            reported.size(),
-            "toAsk",
-            gate.size(),
-            "tookMs",
-            (parts.time().nanos() - claimedAt) / NANOS_PER_MILLI);
+    parts.log().log(
+        "control-open",
+        "term",
+        term.number(),
+        "jobs",
+        jobs.active().size(),
+        "workers",
+        reported.size(),
+        "toAsk",
+        gate.size(),
+        "tookMs",
+        (parts.time().nanos() - claimedAt) / NANOS_PER_MILLI);
     List.copyOf(reported.values()).forEach(roster::admit);
     ticker =
         parts
@@ -309,12 +298,18 @@
     }
     final WorkerState worker = new WorkerState(entry);
     fleet.add(worker);
-    final WorkerSession session =
-        new WorkerSession(parts, worker, ledger, term.number(), this);
+    final WorkerSession session = new WorkerSession(parts, worker, ledger, term.number(), this);
     sessions.put(entry.id(), session);
     session.look();
   }
 
+  /** A worker that an earlier holder used is kept until its runs are known or have expired. */
+  private void forgetWhenEmpty(final WorkerState worker) {
+    if (!worker.isListed() && worker.runs().isEmpty() && !gate.isPending(worker.id())) {
+      forget(worker.id());
+    }
+  }
+
   private void forget(final String id) {
     final WorkerSession session = sessions.remove(id);
     if (session != null) {
@@ -333,9 +328,7 @@
       registry.tick(now);
       List.copyOf(sessions.values()).forEach(session -> session.tick(now));
       for (final WorkerState worker : List.copyOf(fleet.workers())) {
-        if (!worker.isListed() && worker.runs().isEmpty()) {
-          forget(worker.id());
-        }
+        forgetWhenEmpty(worker);
       }
       if (isSure()) {
         waves.tick(now, term);
--- a/library/src/main/java/org/lentilsail/jobs/JobGate.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobGate.java
@@ -30,6 +30,9 @@
   /** Age in ns up to which the numbers of waiting jobs are used without reading them again. */
   private static final long WAITING_AGE_NANOS = 400_000_000L;
 
+  /** Monotonic time in ns before any other; differences with it do not overflow. */
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final KeyValueStore store;
   private final Executor executor;
   private final DecisionLog log;
@@ -39,7 +42,7 @@
   private final Map<String, JobState> ended = bounded();
   private final Map<String, Boolean> known = bounded();
   private Map<String, Integer> waiting = Map.of();
-  private long waitingReadAt = Long.MIN_VALUE;
+  private long waitingReadAt = NEVER;
 
   /**
    * Creates a gate.
@@ -136,8 +139,7 @@
             item -> {
               availability.answered();
               waiting =
-                  item.flatMap(
-                          found -> Documents.<WaitingDocument>read(Documents.WAITING, found))
+                  item.flatMap(found -> Documents.<WaitingDocument>read(Documents.WAITING, found))
                       .map(WaitingDocument::jobs)
                       .orElse(Map.of());
               waitingReadAt = sentAt;
--- a/library/src/main/java/org/lentilsail/jobs/JobInput.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobInput.java
@@ -42,8 +42,7 @@
     for (final StoredItem item : items) {
       Documents.<JobProgress>read(Documents.PROGRESS, item)
           .ifPresent(
-              progress ->
-                  kept.put(item.key().substring(StoreKeys.PROGRESS.length()), progress));
+              progress -> kept.put(item.key().substring(StoreKeys.PROGRESS.length()), progress));
     }
   }
 
@@ -70,8 +69,7 @@
     if (StoreKeys.isCancellation(item.key())) {
       cancel(id);
     } else if (jobs.job(id) == null) {
-      Documents.<SubmittedJob>read(Documents.SUBMISSION, item)
-          .ifPresent(job -> accept(job, old));
+      Documents.<SubmittedJob>read(Documents.SUBMISSION, item).ifPresent(job -> accept(job, old));
     }
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -45,13 +45,7 @@
         new JobGate(parts.store(), parts.executor(), parts.log(), parts.time(), availability);
     this.election =
         new Election(
-            parts.store(),
-            daemon,
-            parts.executor(),
-            parts.time(),
-            parts.log(),
-            HOLDER_LEASE,
-            this);
+            parts.store(), daemon, parts.executor(), parts.time(), parts.log(), HOLDER_LEASE, this);
     this.operators =
         new PrefixFollower(
             parts.store(),
@@ -123,9 +117,7 @@
     }
     deposed();
     final JobConfiguration present =
-        configuration == null
-            ? new JobConfiguration(0, List.of(), List.of(), 0)
-            : configuration;
+        configuration == null ? new JobConfiguration(0, List.of(), List.of(), 0) : configuration;
     control = new JobControl(parts, election, term, present);
     waves.values().forEach(control::wave);
     control.start();
@@ -149,14 +141,8 @@
       return;
     }
     configuration = present;
-    parts
-        .log()
-        .log(
-            "configuration-in-force",
-            "version",
-            present.version(),
-            "queues",
-            present.queues().size());
+    parts.log().log(
+        "configuration-in-force", "version", present.version(), "queues", present.queues().size());
     if (control != null) {
       control.configuration(present);
     }
--- a/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
@@ -51,8 +51,7 @@
       return;
     }
     final List<JobRun> batch = jobs.takeUnsaved(BATCH);
-    final List<Runnable> served =
-        jobs.hasUnsaved() ? List.of() : List.copyOf(waiters);
+    final List<Runnable> served = jobs.hasUnsaved() ? List.of() : List.copyOf(waiters);
     waiters.removeAll(served);
     if (batch.isEmpty()) {
       served.forEach(Runnable::run);
@@ -119,20 +118,18 @@
       if (progress.state().isFinal()) {
         final JobRun job = batch.jobs().get(i);
         final long now = parts.time().nanos();
-        parts
-            .log()
-            .log(
-                "job-ended",
-                "job",
-                job.id(),
-                "queue",
-                job.queue().name(),
-                "state",
-                progress.state(),
-                "ageMs",
-                (now - job.arrivedAt()) / 1_000_000,
-                "slackMs",
-                (job.objectiveAt() - now) / 1_000_000);
+        parts.log().log(
+            "job-ended",
+            "job",
+            job.id(),
+            "queue",
+            job.queue().name(),
+            "state",
+            progress.state(),
+            "ageMs",
+            (now - job.arrivedAt()) / 1_000_000,
+            "slackMs",
+            (job.objectiveAt() - now) / 1_000_000);
       }
     }
   }
--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -58,9 +58,12 @@
     write();
   }
 
-  /** Removes a worker on which surely nothing runs; written with the next admission. */
+  /** Removes a worker on which surely nothing runs, so that a later holder need not ask it. */
   void remove(final String id) {
-    members.remove(id);
+    if (members.remove(id) != null) {
+      dirty = true;
+      write();
+    }
   }
 
   void close() {
--- a/library/src/main/java/org/lentilsail/jobs/Submissions.java
+++ b/library/src/main/java/org/lentilsail/jobs/Submissions.java
@@ -110,7 +110,8 @@
     commits++;
     Commit commit = Commit.empty();
     for (final Pending pending : batch) {
-      commit = commit.when(pending.key(), 0).write(pending.key(), Documents.write(pending.job()), 0);
+      commit =
+          commit.when(pending.key(), 0).write(pending.key(), Documents.write(pending.job()), 0);
     }
     store
         .commit(commit)
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.policy.job.Evacuation;
 import org.lentilsail.policy.job.Fleet;
@@ -39,6 +40,7 @@
   private final Fleet fleet;
   private final RunLedger ledger;
   private final Runnable changed;
+  private final Consumer<String> workerEnded;
   private final MachineBook machines = new MachineBook();
   private final WavePlanner planner;
   private final Map<Long, Wave> waves = new LinkedHashMap<>();
@@ -56,8 +58,10 @@
       final Fleet fleet,
       final JobBook jobs,
       final RunLedger ledger,
-      final Runnable changed) {
+      final Runnable changed,
+      final Consumer<String> workerEnded) {
     this.parts = parts;
+    this.workerEnded = workerEnded;
     this.fleet = fleet;
     this.ledger = ledger;
     this.changed = changed;
@@ -88,18 +92,16 @@
       wave.began(machine, "", earliestBack);
     }
     waves.put(request.number(), wave);
-    parts
-        .log()
-        .log(
-            "wave-requested",
-            "wave",
-            request.number(),
-            "machines",
-            request.machines().size(),
-            "atMost",
-            request.atMost(),
-            "durationMs",
-            request.durationMillis());
+    parts.log().log(
+        "wave-requested",
+        "wave",
+        request.number(),
+        "machines",
+        request.machines().size(),
+        "atMost",
+        request.atMost(),
+        "durationMs",
+        request.durationMillis());
   }
 
   void close() {
@@ -171,18 +173,16 @@
     final Wave wave = upkeep.wave();
     final String machine = upkeep.machine().id();
     final String worker = upkeep.machine().worker();
-    parts
-        .log()
-        .log(
-            "machine-maintain",
-            "machine",
-            machine,
-            "wave",
-            wave.request().number(),
-            "worker",
-            worker,
-            "answer",
-            answer);
+    parts.log().log(
+        "machine-maintain",
+        "machine",
+        machine,
+        "wave",
+        wave.request().number(),
+        "worker",
+        worker,
+        "answer",
+        answer);
     switch (answer) {
       case DONE -> {
         wave.began(machine, worker, now + parts.bounds().upkeepMillis() * NANOS_PER_MILLI);
@@ -201,15 +201,16 @@
   private void ended(final String id, final long now) {
     final WorkerState worker = fleet.worker(id);
     if (worker != null) {
+      worker.unlisted();
       ledger.lost(worker, now);
+      workerEnded.accept(id);
     }
   }
 
   /** Keeps what is done and writes the status, one wave at a time. */
   private void writeStatus(final Term term) {
     for (final Wave wave : waves.values()) {
-      final String wanted =
-          wave.isComplete() ? "completed" : "running " + wave.ordered().size();
+      final String wanted = wave.isComplete() ? "completed" : "running " + wave.ordered().size();
       if (!writing && !wanted.equals(statusWritten.get(wave.request().number()))) {
         writeStatus(wave, wanted, term);
       }
--- a/library/src/main/java/org/lentilsail/jobs/WorkerRegistry.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerRegistry.java
@@ -11,8 +11,9 @@
 import org.lentilsail.store.StoredItem;
 
 /**
- * Follows the entries of workers in the store. An entry that vanishes may only have expired while the
- * store was away; it counts as gone after a time in which it could have come back. Control thread.
+ * Follows the entries of workers in the store. An entry that vanishes may only have expired while
+ * the store was away; it counts as gone after a time in which it could have come back. Control
+ * thread.
  */
 final class WorkerRegistry implements PrefixListener {
   /** Time in ns in which a live worker restores an entry that expired with the store away. */
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -19,8 +19,8 @@
 import org.lentilsail.worker.StartOrder;
 
 /**
- * Talks to one worker: looks at its lists, renews the lease of its runs, acknowledges ends and sends
- * orders. Owned by the control thread.
+ * Talks to one worker: looks at its lists, renews the lease of its runs, acknowledges ends and
+ * sends orders. Owned by the control thread.
  */
 final class WorkerSession {
   /** Lease in ms from each look; longer than a change of the holder takes, see docs/platform.md. */
@@ -152,9 +152,7 @@
         && worker.clock().isKnown()
         && !worker.runs().isEmpty()
         && worker.clock().atLeast(now) > lastExpiry()) {
-      parts
-          .log()
-          .log("worker-lease-expired", "worker", worker.id(), "runs", worker.runs().size());
+      parts.log().log("worker-lease-expired", "worker", worker.id(), "runs", worker.runs().size());
       ledger.lost(worker, now);
       events.resolved(worker);
       events.changed();
@@ -222,8 +220,7 @@
     }
     final boolean wasAnswering = worker.isAnswering();
     final long endsBefore = worker.endsSeen();
-    final boolean mustKeep =
-        ledger.listed(worker, list, sentAt, now, parts.time().wallMillis());
+    final boolean mustKeep = ledger.listed(worker, list, sentAt, now, parts.time().wallMillis());
     if (!wasAnswering) {
       parts.log().log("worker-answers", "worker", worker.id(), "running", list.running().size());
     }
@@ -403,22 +400,20 @@
   }
 
   private void logStart(final TaskRun run, final OrderReply reply) {
-    parts
-        .log()
-        .log(
-            "task-start",
-            "task",
-            run.task().id().text(),
-            "run",
-            run.number(),
-            "worker",
-            worker.id(),
-            "waitedMs",
-            (run.createdAt() - run.task().waitingSince()) / 1_000_000,
-            "answer",
-            reply.answer(),
-            "detail",
-            reply.detail());
+    parts.log().log(
+        "task-start",
+        "task",
+        run.task().id().text(),
+        "run",
+        run.number(),
+        "worker",
+        worker.id(),
+        "waitedMs",
+        (run.createdAt() - run.task().waitingSince()) / 1_000_000,
+        "answer",
+        reply.answer(),
+        "detail",
+        reply.detail());
   }
 
   private void stopped(final Order order, final OrderReply reply, final long now) {
--- a/library/src/main/java/org/lentilsail/log/DecisionLog.java
+++ b/library/src/main/java/org/lentilsail/log/DecisionLog.java
@@ -7,9 +7,9 @@
 import org.lentilsail.model.time.TimeSource;
 
 /**
- * Writes one line for each decision to standard output, as {@code key=value} pairs. Lines are handed
- * to a writer thread through a bounded queue; a caller never waits. Lines over the rate or the queue
- * are left out, and the next line that is written tells how many.
+ * Writes one line for each decision to standard output, as {@code key=value} pairs. Lines are
+ * handed to a writer thread through a bounded queue; a caller never waits. Lines over the rate or
+ * the queue are left out, and the next line that is written tells how many.
  */
 public final class DecisionLog implements AutoCloseable {
   /** Lines that may wait to be written. */
--- a/library/src/main/java/org/lentilsail/store/KeyValueStore.java
+++ b/library/src/main/java/org/lentilsail/store/KeyValueStore.java
@@ -6,8 +6,8 @@
 
 /**
  * The platform's store. Thread-safe. A call fails with {@code LentilsailException}: {@code
- * PLATFORM_UNAVAILABLE} when it has certainly changed nothing, {@code OUTCOME_UNKNOWN} when a change
- * may have been made or may still be made.
+ * PLATFORM_UNAVAILABLE} when it has certainly changed nothing, {@code OUTCOME_UNKNOWN} when a
+ * change may have been made or may still be made.
  */
 public interface KeyValueStore {
   /**
--- a/library/src/main/java/org/lentilsail/store/PrefixFollower.java
+++ b/library/src/main/java/org/lentilsail/store/PrefixFollower.java
@@ -28,7 +28,7 @@
   private boolean failing;
   private long revision;
   private long lastCallAt;
-  private long contactAt = Long.MIN_VALUE;
+  private long contactAt = Long.MIN_VALUE / 2;
 
   /**
    * Creates a follower that has not started.
--- a/model/src/main/java/org/lentilsail/model/job/Resources.java
+++ b/model/src/main/java/org/lentilsail/model/job/Resources.java
@@ -18,8 +18,7 @@
    * @return the sum
    */
   public Resources plus(final Resources other) {
-    return new Resources(
-        cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, gpus + other.gpus);
+    return new Resources(cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, gpus + other.gpus);
   }
 
   /**
@@ -29,8 +28,7 @@
    * @return the difference
    */
   public Resources minus(final Resources other) {
-    return new Resources(
-        cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, gpus - other.gpus);
+    return new Resources(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, gpus - other.gpus);
   }
 
   /**
--- a/model/src/main/java/org/lentilsail/model/job/WorkerEntry.java
+++ b/model/src/main/java/org/lentilsail/model/job/WorkerEntry.java
@@ -38,7 +38,6 @@
    * @return the changed report
    */
   public WorkerEntry bornAt(final long millis) {
-    return new WorkerEntry(
-        id, service, address, zone, draining, capacity, labels, millis);
+    return new WorkerEntry(id, service, address, zone, draining, capacity, labels, millis);
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -26,6 +26,7 @@
   private long finishedMillis;
   private int nextOccurrence;
   private int occurrencesDone;
+  private boolean begun;
 
   JobRun(final SubmittedJob submitted, final QueueSpec queue, final long arrivedAt) {
     this.submitted = submitted;
@@ -69,6 +70,15 @@
     return state;
   }
 
+  /**
+   * Tells whether a worker has surely started a task of the job.
+   *
+   * @return whether a start was confirmed or an end was taken in
+   */
+  public boolean hasBegun() {
+    return begun;
+  }
+
   /**
    * Returns when the job became known.
    *
@@ -222,6 +232,9 @@
   }
 
   void restore(final JobProgress progress, final long now) {
+    if (progress.state() != JobState.PENDING) {
+      running();
+    }
     for (final StepProgress kept : progress.steps()) {
       while (nextOccurrence <= kept.occurrence()) {
         begin(nextOccurrence, now);
@@ -248,6 +261,7 @@
   }
 
   void running() {
+    begun = true;
     if (state == JobState.PENDING) {
       state = JobState.RUNNING;
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -25,8 +25,7 @@
    * @param now monotonic time in ns
    * @return the best worker, null when none has room
    */
-  static WorkerState choose(
-      final Task task, final List<WorkerState> candidates, final long now) {
+  static WorkerState choose(final Task task, final List<WorkerState> candidates, final long now) {
     WorkerState best = null;
     double bestScore = Double.NEGATIVE_INFINITY;
     for (final WorkerState worker : candidates) {
--- a/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
@@ -70,6 +70,16 @@
         && pending.values().stream().anyMatch(worker -> worker.service().equals(service));
   }
 
+  /**
+   * Tells whether a worker has not been asked yet.
+   *
+   * @param worker id of the worker
+   * @return whether runs of an earlier holder may be left there
+   */
+  public boolean isPending(final String worker) {
+    return pending.containsKey(worker);
+  }
+
   /**
    * Counts the workers that have not been asked.
    *
--- a/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
@@ -54,7 +54,6 @@
     task.noteRun(run);
     task.runs().add(started);
     worker.add(started);
-    task.step().job().running();
     return started;
   }
 
@@ -79,6 +78,7 @@
    */
   public void started(final TaskRun run, final long now) {
     run.confirm(now);
+    run.task().step().job().running();
   }
 
   /**
@@ -193,8 +193,7 @@
     worker.startAnew();
   }
 
-  private TaskRun runningEntry(
-      final WorkerState worker, final ListedRun entry, final long now) {
+  private TaskRun runningEntry(final WorkerState worker, final ListedRun entry, final long now) {
     final Task task = jobs.task(entry.task());
     if (task == null) {
       orders.add(new Order.Stop(foreign(worker, entry, now)));
@@ -204,7 +203,7 @@
     if (run == null) {
       run = adopt(task, worker, entry, now);
     }
-    run.confirm(now);
+    started(run, now);
     run.measured(entry.usage(), entry.percent(), now);
     task.checkpoint(entry.checkpoint());
     if (task.isDone() || task.step().job().state().isFinal()) {
@@ -227,8 +226,7 @@
   }
 
   /** A run that belongs to no known job; it is stopped and not counted. */
-  private static TaskRun foreign(
-      final WorkerState worker, final ListedRun entry, final long now) {
+  private static TaskRun foreign(final WorkerState worker, final ListedRun entry, final long now) {
     final Task task = new Task(entry.task(), null, now);
     return new TaskRun(task, entry.run(), worker, now);
   }
@@ -264,6 +262,7 @@
       drop(run, now);
     }
     task.noteRun(end.run());
+    task.step().job().running();
     task.checkpoint(end.checkpoint());
     switch (end.how()) {
       case DONE -> done(worker, task, wallMillis);
@@ -314,9 +313,7 @@
     jobs.changed(job);
     final boolean gang = task.step().spec().gang();
     final int failures =
-        gang
-            ? task.step().tasks().stream().mapToInt(Task::failures).sum()
-            : task.failures();
+        gang ? task.step().tasks().stream().mapToInt(Task::failures).sum() : task.failures();
     if (failures >= job.queue().maxAttempts()) {
       jobs.finish(job, JobState.FAILED, wallMillis);
       stopAll(job, "the job has failed");
@@ -345,5 +342,4 @@
     }
     return null;
   }
-
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/RunNumbers.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunNumbers.java
@@ -1,9 +1,9 @@
 package org.lentilsail.policy.job;
 
 /**
- * Gives numbers to runs. Starts are not stored, so each term of the holder numbers in a range of its
- * own above the ranges of earlier terms; a number never falls behind one that an earlier holder may
- * have used.
+ * Gives numbers to runs. Starts are not stored, so each term of the holder numbers in a range of
+ * its own above the ranges of earlier terms; a number never falls behind one that an earlier holder
+ * may have used.
  *
  * @param term number of the term, from 1
  */
--- a/policy/src/main/java/org/lentilsail/policy/job/Wave.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Wave.java
@@ -109,8 +109,7 @@
    * @return machines whose maintenance has begun and that have not come back
    */
   int down(final MachineBook machines) {
-    down.entrySet()
-        .removeIf(entry -> ordered.contains(entry.getKey()) && isBack(entry, machines));
+    down.entrySet().removeIf(entry -> ordered.contains(entry.getKey()) && isBack(entry, machines));
     return down.size();
   }
 
@@ -118,15 +117,13 @@
     return !ordered.contains(machine) && now >= retryAt.getOrDefault(machine, Long.MIN_VALUE);
   }
 
-  private static boolean isBack(
-      final Map.Entry<String, Down> entry, final MachineBook machines) {
+  private static boolean isBack(final Map.Entry<String, Down> entry, final MachineBook machines) {
     if (machines.askedAt() < entry.getValue().earliestBack()) {
       return false;
     }
     final Machine machine = machines.machine(entry.getKey());
     return machine == null
         || (machine.state() == MachineState.UP
-            && (machine.worker().isEmpty()
-                || !machine.worker().equals(entry.getValue().worker())));
+            && (machine.worker().isEmpty() || !machine.worker().equals(entry.getValue().worker())));
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
@@ -32,8 +32,7 @@
    * @param machines all machines
    * @param evacuation empties workers
    */
-  public WavePlanner(
-      final Fleet fleet, final MachineBook machines, final Evacuation evacuation) {
+  public WavePlanner(final Fleet fleet, final MachineBook machines, final Evacuation evacuation) {
     this.fleet = fleet;
     this.machines = machines;
     this.evacuation = evacuation;
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -194,7 +194,17 @@
         && !entry.draining()
         && now >= noRoomUntil
         && !health.isResting(now)
-        && (!health.onProbation() || runs.isEmpty());
+        && (!health.onProbation() || !hasShortRuns());
+  }
+
+  /** Tells whether a run occupies the worker whose end would show whether the worker is sound. */
+  private boolean hasShortRuns() {
+    for (final TaskRun run : runs) {
+      if (!run.task().step().spec().longRunning()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
