Move machines to the pools whose work is there

Cause: each queue's turn asks for more than its pool holds while the other pools are idle (pool-load lines: 5,000 core-seconds waiting in one pool, none in the others). Change: PoolPlanner moves emptied machines by running, waiting and arriving work, with a base for the begin of a turn; tasks that last are packed; MachineDirectory lists machines once for waves and moves.

--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -4,8 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.JobBook;
 import org.lentilsail.policy.job.JobRun;
+import org.lentilsail.policy.job.PoolLoad;
+import org.lentilsail.policy.job.PoolLoads;
 import org.lentilsail.store.Commit;
 
 /** Publishes the numbers of waiting jobs and removes jobs that ended long ago. Control thread. */
@@ -13,6 +16,9 @@
   /** Time in ns between publications; callers may see numbers up to 2 s old. */
   private static final long PUBLISH_NANOS = 700_000_000L;
 
+  /** Time in ns between lines about the load of the pools. */
+  private static final long LOG_NANOS = 1_000_000_000L;
+
   /** Time in ns between removals. */
   private static final long REMOVE_NANOS = 5_000_000_000L;
 
@@ -24,17 +30,24 @@
 
   private final ControlParts parts;
   private final JobBook jobs;
+  private final Fleet fleet;
+  private long loggedAt = Long.MIN_VALUE / 2;
   private Map<String, Integer> published;
   private long publishedAt = Long.MIN_VALUE / 2;
   private long removedAt = Long.MIN_VALUE / 2;
   private boolean busy;
 
-  Housekeeping(final ControlParts parts, final JobBook jobs) {
+  Housekeeping(final ControlParts parts, final JobBook jobs, final Fleet fleet) {
     this.parts = parts;
+    this.fleet = fleet;
     this.jobs = jobs;
   }
 
   void tick(final long now, final Term term) {
+    if (now - loggedAt >= LOG_NANOS) {
+      loggedAt = now;
+      new PoolLoads(jobs, fleet).measure(now).forEach(this::logLoad);
+    }
     if (!busy && now - publishedAt >= PUBLISH_NANOS) {
       publish(now, term);
     }
@@ -44,6 +57,33 @@
     }
   }
 
+  private void logLoad(final PoolLoad load) {
+    parts
+        .log()
+        .log(
+            "pool-load",
+            "service",
+            load.service(),
+            "workers",
+            load.workers(),
+            "cpu",
+            load.capacity().cpuMillis(),
+            "lastingCpu",
+            load.lasting().cpuMillis(),
+            "shortCpu",
+            load.shortRunning().cpuMillis(),
+            "memoryMb",
+            load.capacity().memoryMb(),
+            "lastingMb",
+            load.lasting().memoryMb(),
+            "shortMb",
+            load.shortRunning().memoryMb(),
+            "workMs",
+            Math.round(load.workMillis()),
+            "waiting",
+            load.waitingTasks());
+  }
+
   private void publish(final long now, final Term term) {
     final Map<String, Integer> counts = new HashMap<>();
     for (final JobRun job : jobs.active()) {
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -63,7 +63,9 @@
   private final Roster roster;
   private final RunLedger ledger;
   private final Scheduler scheduler;
+  private final MachineDirectory directory;
   private final WaveRunner waves;
+  private final MoveRunner moves;
   private final Housekeeping housekeeping;
   private final long claimedAt;
   private Term term;
@@ -87,8 +89,11 @@
     scheduler = new Scheduler(jobs, fleet, ledger, gate);
     writer = new ProgressWriter(parts, jobs, term, election::superseded);
     roster = new Roster(parts, term, this::admitted, election::superseded);
-    waves = new WaveRunner(parts, fleet, jobs, ledger, this::changed, this::forget);
-    housekeeping = new Housekeeping(parts, jobs);
+    directory = new MachineDirectory(parts);
+    waves =
+        new WaveRunner(parts, fleet, jobs, ledger, directory, this::changed, this::forget);
+    moves = new MoveRunner(parts, fleet, jobs, ledger, directory, this::forget);
+    housekeeping = new Housekeeping(parts, jobs, fleet);
     input = new JobInput(parts, jobs, ledger, this::inputLoaded, this::changed);
     registry = new WorkerRegistry(parts, this, this::registryLoaded);
     inputFollower =
@@ -126,6 +131,7 @@
     writer.close();
     roster.close();
     waves.close();
+    moves.close();
     sessions.values().forEach(WorkerSession::close);
     if (ticker != null) {
       ticker.cancel(false);
@@ -331,7 +337,7 @@
         forgetWhenEmpty(worker);
       }
       if (isSure()) {
-        waves.tick(now, term);
+        tickMachines(now);
         housekeeping.tick(now, term);
       }
       changed();
@@ -340,6 +346,17 @@
     }
   }
 
+  /** A new holder gives no orders about machines until those of its predecessor have arrived. */
+  private void tickMachines(final long now) {
+    directory.refresh(now);
+    final long quiet = parts.bounds().machineLeaseMillis() * NANOS_PER_MILLI;
+    if (term.number() > 1 && now - claimedAt < quiet) {
+      return;
+    }
+    waves.tick(now, term, moves::isMoving);
+    moves.tick(now, term, waves.maintained());
+  }
+
   private void pass() {
     passQueued = false;
     if (closed) {
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
@@ -0,0 +1,145 @@
+package org.lentilsail.jobs;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.lentilsail.model.job.Machine;
+import org.lentilsail.model.job.MachineState;
+import org.lentilsail.policy.job.Evacuation;
+import org.lentilsail.policy.job.Fleet;
+import org.lentilsail.policy.job.JobBook;
+import org.lentilsail.policy.job.PoolLoads;
+import org.lentilsail.policy.job.PoolPlanner;
+import org.lentilsail.policy.job.RunLedger;
+import org.lentilsail.policy.job.WorkerState;
+import org.lentilsail.worker.MachineAnswer;
+
+/** Carries out moves of machines between pools. Owned by the control thread. */
+final class MoveRunner {
+  /** Time in ns after which a move that does not show in the list is given up. */
+  private static final long GIVE_UP_NANOS = 2_000_000_000L;
+
+  private final ControlParts parts;
+  private final Fleet fleet;
+  private final RunLedger ledger;
+  private final MachineDirectory directory;
+  private final PoolPlanner planner;
+  private final PoolLoads loads;
+  private final Consumer<String> workerEnded;
+  private final Map<String, Pending> pending = new HashMap<>();
+  private boolean closed;
+
+  /** A move that the list does not show yet. */
+  private record Pending(PoolPlanner.Move move, long answeredAt) {}
+
+  MoveRunner(
+      final ControlParts parts,
+      final Fleet fleet,
+      final JobBook jobs,
+      final RunLedger ledger,
+      final MachineDirectory directory,
+      final Consumer<String> workerEnded) {
+    this.parts = parts;
+    this.fleet = fleet;
+    this.ledger = ledger;
+    this.directory = directory;
+    this.workerEnded = workerEnded;
+    this.loads = new PoolLoads(jobs, fleet);
+    this.planner =
+        new PoolPlanner(
+            jobs, fleet, directory.machines(), new Evacuation(ledger, fleet, jobs));
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  /** Returns the machines that are being emptied or moved. */
+  boolean isMoving(final String machine) {
+    return planner.isMoving(machine);
+  }
+
+  void tick(final long now, final Term term, final Set<String> maintained) {
+    settle(now);
+    final Set<String> reserved = new HashSet<>(maintained);
+    reserved.addAll(directory.ordered());
+    planner.plan(loads.measure(now), reserved, now).forEach(move -> order(move, term));
+  }
+
+  /** Ends the moves that the list shows, or that took too long to show. */
+  private void settle(final long now) {
+    pending
+        .values()
+        .removeIf(
+            entry -> {
+              final String id = entry.move().machine().id();
+              final Machine machine = directory.machines().machine(id);
+              final boolean fresh = directory.machines().askedAt() > entry.answeredAt();
+              final boolean shown =
+                  machine == null
+                      || machine.pool().equals(entry.move().pool())
+                      || machine.state() != MachineState.UP;
+              final boolean over =
+                  fresh && shown || now - entry.answeredAt() > GIVE_UP_NANOS;
+              if (over) {
+                planner.ended(id);
+                release(entry.move());
+              }
+              return over;
+            });
+  }
+
+  private void order(final PoolPlanner.Move move, final Term term) {
+    final String machine = move.machine().id();
+    if (!directory.begin(machine)) {
+      planner.ended(machine);
+      return;
+    }
+    parts
+        .machines()
+        .move(machine, move.pool(), term.number())
+        .whenCompleteAsync(
+            (answer, failure) -> {
+              directory.end(machine);
+              if (!closed) {
+                ordered(move, answer);
+              }
+            },
+            parts.executor());
+  }
+
+  private void ordered(final PoolPlanner.Move move, final MachineAnswer answer) {
+    final long now = parts.time().nanos();
+    parts
+        .log()
+        .log(
+            "machine-move",
+            "machine",
+            move.machine().id(),
+            "from",
+            move.machine().pool(),
+            "to",
+            move.pool(),
+            "answer",
+            answer);
+    final String worker = move.machine().worker();
+    if (answer == MachineAnswer.DONE) {
+      if (fleet.worker(worker) != null) {
+        fleet.worker(worker).unlisted();
+        ledger.lost(fleet.worker(worker), now);
+        workerEnded.accept(worker);
+      }
+    }
+    pending.put(move.machine().id(), new Pending(move, now));
+  }
+
+  /** Gives a worker work again when its machine has not moved. */
+  private void release(final PoolPlanner.Move move) {
+    final WorkerState worker = fleet.worker(move.machine().worker());
+    if (worker != null) {
+      worker.cordoned(false);
+    }
+  }
+}
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -1,17 +1,16 @@
 package org.lentilsail.jobs;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.policy.job.Evacuation;
 import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.JobBook;
-import org.lentilsail.policy.job.MachineBook;
 import org.lentilsail.policy.job.RunLedger;
 import org.lentilsail.policy.job.Wave;
 import org.lentilsail.policy.job.WavePlanner;
@@ -25,9 +24,6 @@
  * status that operators read. Owned by the control thread.
  */
 final class WaveRunner {
-  /** Time in ns between lists of machines while a wave runs. */
-  private static final long LIST_NANOS = 250_000_000L;
-
   /** Time in ns after which a refused order is repeated. */
   private static final long RETRY_NANOS = 400_000_000L;
 
@@ -41,32 +37,31 @@
   private final RunLedger ledger;
   private final Runnable changed;
   private final Consumer<String> workerEnded;
-  private final MachineBook machines = new MachineBook();
+  private final MachineDirectory directory;
   private final WavePlanner planner;
   private final Map<Long, Wave> waves = new LinkedHashMap<>();
   private final Map<Long, List<String>> kept = new HashMap<>();
   private final Map<Long, String> statusWritten = new HashMap<>();
-  private final Set<String> ordering = new HashSet<>();
-  private final long startedAt;
-  private boolean listing;
   private boolean writing;
   private boolean closed;
-  private long listedAt = Long.MIN_VALUE / 2;
 
   WaveRunner(
       final ControlParts parts,
       final Fleet fleet,
       final JobBook jobs,
       final RunLedger ledger,
+      final MachineDirectory directory,
       final Runnable changed,
       final Consumer<String> workerEnded) {
     this.parts = parts;
     this.workerEnded = workerEnded;
+    this.directory = directory;
     this.fleet = fleet;
     this.ledger = ledger;
     this.changed = changed;
-    this.startedAt = parts.time().nanos();
-    this.planner = new WavePlanner(fleet, machines, new Evacuation(ledger, fleet, jobs));
+    this.planner = 
+        new WavePlanner(
+            fleet, directory.machines(), new Evacuation(ledger, fleet, jobs));
   }
 
   /** Takes over which machines earlier holders have maintained. */
@@ -108,19 +103,19 @@
     closed = true;
   }
 
-  void tick(final long now, final Term term) {
+  /** Returns the machines that are being emptied or maintained for a wave. */
+  Set<String> maintained() {
+    return planner.emptying();
+  }
+
+  void tick(final long now, final Term term, final Predicate<String> isMoving) {
     if (waves.values().stream().allMatch(this::isClosed)) {
       return;
     }
-    list(now);
     writeStatus(term);
-    if (now - startedAt < parts.bounds().machineLeaseMillis() * NANOS_PER_MILLI
-        && term.number() > 1) {
-      return;
-    }
     for (final Wave wave : waves.values()) {
       if (!wave.isComplete()) {
-        planner.plan(wave, now).forEach(upkeep -> order(upkeep, term));
+        planner.plan(wave, now, isMoving).forEach(upkeep -> order(upkeep, term));
       }
     }
   }
@@ -129,30 +124,9 @@
     return "completed".equals(statusWritten.get(wave.request().number()));
   }
 
-  private void list(final long now) {
-    if (listing || now - listedAt < LIST_NANOS) {
-      return;
-    }
-    listing = true;
-    listedAt = now;
-    parts
-        .machines()
-        .list()
-        .whenCompleteAsync(
-            (present, failure) -> {
-              listing = false;
-              if (failure != null) {
-                parts.log().log("machine-list-failed", "reason", failure.getMessage());
-              } else {
-                machines.replace(present, now);
-              }
-            },
-            parts.executor());
-  }
-
   private void order(final WavePlanner.Upkeep upkeep, final Term term) {
     final String machine = upkeep.machine().id();
-    if (!ordering.add(machine)) {
+    if (!directory.begin(machine)) {
       return;
     }
     parts
@@ -160,7 +134,7 @@
         .maintain(machine, upkeep.wave().request().number(), term.number())
         .whenCompleteAsync(
             (answer, failure) -> {
-              ordering.remove(machine);
+              directory.end(machine);
               if (!closed) {
                 ordered(upkeep, answer);
               }
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -143,7 +143,17 @@
     parts
         .workers()
         .look(worker.entry(), new LookOrder(until, token, endsKept, wait))
-        .whenCompleteAsync((reply, failure) -> looked(turn, reply, sentAt), parts.executor());
+        .whenCompleteAsync(
+            (reply, failure) -> guarded(() -> looked(turn, reply, sentAt)), parts.executor());
+  }
+
+  /** Runs a callback; a fault in it is logged and does not end the session. */
+  private void guarded(final Runnable callback) {
+    try {
+      callback.run();
+    } catch (final RuntimeException error) {
+      parts.log().log("session-failed", "worker", worker.id(), "reason", error.toString());
+    }
   }
 
   /** Checks what time alone can change. */
@@ -313,7 +323,7 @@
             (answer, failure) -> {
               ordersSent--;
               if (!closed) {
-                answered(order, answer);
+                guarded(() -> answered(order, answer));
                 sendNext();
               }
             },
--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -12,6 +12,9 @@
   /** Preference for a worker without recent failures, for a task that has failed before. */
   private static final double NO_FAILURES = 1e10;
 
+  /** Preference for a worker with other tasks that last, so that the rest are free to move. */
+  private static final double LASTING_BESIDE = 1e6;
+
   /** Runs of one job on a worker that is at fault may use up its attempts. */
   private static final int SCARCE_ATTEMPTS = 1;
 
@@ -65,10 +68,23 @@
         || (left <= SCARCE_ATTEMPTS && worker.health().hasFailures());
   }
 
+  private static int lastingRuns(final WorkerState worker) {
+    int count = 0;
+    for (final TaskRun run : worker.runs()) {
+      if (run.task().step().spec().longRunning()) {
+        count++;
+      }
+    }
+    return count;
+  }
+
   private static double score(final Task task, final WorkerState worker) {
     final StepSpec spec = task.step().spec();
     final Resources free = worker.free();
-    double score = spec.longRunning() ? free.cpuMillis() : -free.cpuMillis();
+    double score = -free.cpuMillis();
+    if (spec.longRunning()) {
+      score += LASTING_BESIDE * lastingRuns(worker);
+    }
     if (!spec.dataRack().isEmpty() && worker.hasLabel(spec.dataRack())) {
       score += DATA_RACK;
     }
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -0,0 +1,338 @@
+package org.lentilsail.policy.job;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lentilsail.model.job.Machine;
+import org.lentilsail.model.job.MachineState;
+import org.lentilsail.model.job.ServiceSpec;
+
+/**
+ * Moves machines to the pools whose work they can do soonest: from the spare pool and from pools with
+ * more than they need, and back to the spare pool when no pool needs them. A machine is emptied
+ * before it moves. Owned by the control thread.
+ */
+public final class PoolPlanner {
+  /** Time in ns for which a pool must have had a machine too many before it gives one to a pool. */
+  private static final long SURPLUS_NANOS = 400_000_000L;
+
+  /** Time in ns for which a pool must have had a machine too many before it gives one back. */
+  private static final long IDLE_NANOS = 1_500_000_000L;
+
+  /** Fewest workers of a pool; tasks that last must have somewhere to go when one is emptied. */
+  private static final int MIN_WORKERS = 2;
+
+  /** Machines that are emptied at once for moves. */
+  private static final int MAX_EMPTYING = 8;
+
+  private final JobBook jobs;
+  private final Fleet fleet;
+  private final MachineBook machines;
+  private final Evacuation evacuation;
+  private final PoolTargets targets = new PoolTargets();
+  private final Map<String, Move> emptying = new HashMap<>();
+  private final Map<String, Long> surplusSince = new HashMap<>();
+  private final Set<String> moving = new HashSet<>();
+
+  /** A machine to be moved. */
+  public record Move(Machine machine, String pool, long since) {}
+
+  /** A pool while moves are planned. */
+  private static final class Pool {
+    private final String name;
+    private final long wanted;
+    private final int minWorkers;
+    private long present;
+    private int workers;
+
+    Pool(final String name, final long wanted, final int minWorkers) {
+      this.name = name;
+      this.wanted = wanted;
+      this.minWorkers = minWorkers;
+    }
+
+    /** Missing processor; at least a little while there are too few workers. */
+    long missing() {
+      return workers < minWorkers ? Math.max(1, wanted - present) : wanted - present;
+    }
+
+    double need() {
+      return wanted <= 0 ? 0 : (double) missing() / wanted;
+    }
+  }
+
+  /**
+   * Creates a planner.
+   *
+   * @param jobs all jobs
+   * @param fleet all workers
+   * @param machines all machines
+   * @param evacuation empties workers
+   */
+  public PoolPlanner(
+      final JobBook jobs,
+      final Fleet fleet,
+      final MachineBook machines,
+      final Evacuation evacuation) {
+    this.jobs = jobs;
+    this.fleet = fleet;
+    this.machines = machines;
+    this.evacuation = evacuation;
+  }
+
+  /**
+   * Plans moves.
+   *
+   * @param loads loads of the pools
+   * @param reserved machines that are being maintained or are about to be
+   * @param now monotonic time in ns
+   * @return machines to be moved now
+   */
+  public List<Move> plan(final List<PoolLoad> loads, final Set<String> reserved, final long now) {
+    if (!machines.isKnown() || loads.isEmpty()) {
+      return List.of();
+    }
+    final Map<String, Pool> pools = pools(loads, now);
+    final List<Move> ready = new ArrayList<>();
+    advanceEmptying(pools, now, ready);
+    fillPools(pools, reserved, now, ready);
+    returnIdle(pools, reserved, now, ready);
+    ready.forEach(move -> moving.add(move.machine().id()));
+    return ready;
+  }
+
+  /**
+   * Takes in that a move has ended, or that it was refused.
+   *
+   * @param machine id of the machine
+   */
+  public void ended(final String machine) {
+    moving.remove(machine);
+  }
+
+  /**
+   * Tells whether a machine is about to move.
+   *
+   * @param machine id of the machine
+   * @return whether it is being emptied or ordered to move
+   */
+  public boolean isMoving(final String machine) {
+    return moving.contains(machine) || emptying.containsKey(machine);
+  }
+
+  private Map<String, Pool> pools(final List<PoolLoad> loads, final long now) {
+    final Map<String, Pool> pools = new HashMap<>();
+    final double share = targets.begin(now);
+    for (final PoolLoad load : loads) {
+      pools.put(
+          load.service(),
+          new Pool(
+              load.service(),
+              targets.wantedCpu(load, share),
+              Math.max(MIN_WORKERS, load.minWorkers() + 1)));
+    }
+    for (final Machine machine : machines.all()) {
+      final Pool pool = pools.get(machine.pool());
+      if (pool != null && countsFor(machine)) {
+        pool.present += machine.capacity().cpuMillis();
+        pool.workers++;
+      }
+    }
+    return pools;
+  }
+
+  /** Machines on their way to a pool count for it; those that leave or have failed do not. */
+  private boolean countsFor(final Machine machine) {
+    if (isMoving(machine.id()) || machine.state() == MachineState.DOWN) {
+      return false;
+    }
+    final WorkerState worker = fleet.worker(machine.worker());
+    return machine.state() != MachineState.UP || worker == null || worker.isListed();
+  }
+
+  private void advanceEmptying(
+      final Map<String, Pool> pools, final long now, final List<Move> ready) {
+    final Iterator<Move> moves = emptying.values().iterator();
+    while (moves.hasNext()) {
+      final Move move = moves.next();
+      final Machine machine = machines.machine(move.machine().id());
+      final WorkerState worker = fleet.worker(move.machine().worker());
+      if (machine == null || machine.state() != MachineState.UP || worker == null) {
+        moves.remove();
+      } else if (isNoLongerWanted(move, pools)) {
+        worker.cordoned(false);
+        moves.remove();
+      } else {
+        final Pool pool = pools.get(move.pool());
+        if (pool != null) {
+          pool.present += machine.capacity().cpuMillis();
+          pool.workers++;
+        }
+        if (evacuation.advance(worker, move.since(), now)) {
+          ready.add(move);
+          moves.remove();
+        }
+      }
+    }
+  }
+
+  /** A machine stays when its own pool has come to need it more than the other one. */
+  private static boolean isNoLongerWanted(final Move move, final Map<String, Pool> pools) {
+    final Pool from = pools.get(move.machine().pool());
+    final Pool to = pools.get(move.pool());
+    return from != null && from.missing() > 0 && (to == null || to.need() < from.need());
+  }
+
+  private void fillPools(
+      final Map<String, Pool> pools,
+      final Set<String> reserved,
+      final long now,
+      final List<Move> ready) {
+    noteSurplus(pools, now);
+    final List<Pool> needy =
+        pools.values().stream()
+            .filter(pool -> pool.missing() > 0)
+            .sorted(Comparator.comparingDouble(Pool::need).reversed())
+            .toList();
+    for (final Pool pool : needy) {
+      Machine machine = source(pool, pools, reserved, now);
+      while (machine != null && pool.missing() > 0) {
+        begin(machine, pool, pools, now, ready);
+        machine = source(pool, pools, reserved, now);
+      }
+    }
+  }
+
+  private void noteSurplus(final Map<String, Pool> pools, final long now) {
+    for (final Pool pool : pools.values()) {
+      if (pool.missing() >= 0) {
+        surplusSince.remove(pool.name);
+      } else {
+        surplusSince.putIfAbsent(pool.name, now);
+      }
+    }
+  }
+
+  private void begin(
+      final Machine machine,
+      final Pool pool,
+      final Map<String, Pool> pools,
+      final long now,
+      final List<Move> ready) {
+    final long cpu = machine.capacity().cpuMillis();
+    final Pool from = pools.get(machine.pool());
+    if (from != null) {
+      from.present -= cpu;
+      from.workers--;
+    }
+    if (pool != null) {
+      pool.present += cpu;
+      pool.workers++;
+    }
+    final Move move = new Move(machine, pool == null ? spare() : pool.name, now);
+    final WorkerState worker = fleet.worker(machine.worker());
+    if (worker == null || worker.runs().isEmpty()) {
+      if (worker != null) {
+        worker.cordoned(true);
+      }
+      ready.add(move);
+      moving.add(machine.id());
+    } else {
+      worker.cordoned(true);
+      emptying.put(machine.id(), move);
+    }
+  }
+
+  /** Chooses a machine for a pool: an empty one of a pool with too many, else a spare one. */
+  private Machine source(
+      final Pool pool, final Map<String, Pool> pools, final Set<String> reserved, final long now) {
+    Machine best = null;
+    int bestRuns = Integer.MAX_VALUE;
+    for (final Machine machine : machines.all()) {
+      if (!machine.pool().equals(pool.name) && isMovable(machine, reserved)) {
+        final int runs = runsIfGiven(machine, pools, now);
+        if (runs < bestRuns) {
+          best = machine;
+          bestRuns = runs;
+        }
+      }
+    }
+    return best;
+  }
+
+  /** Returns the runs on a machine that may be given away, or the largest number. */
+  private int runsIfGiven(
+      final Machine machine, final Map<String, Pool> pools, final long now) {
+    if (machine.pool().equals(spare())) {
+      return 1;
+    }
+    final Pool from = pools.get(machine.pool());
+    final WorkerState worker = fleet.worker(machine.worker());
+    if (from == null
+        || worker == null
+        || !worker.isSynced()
+        || !hasTooMany(from, machine, now, SURPLUS_NANOS)
+        || emptying.size() >= MAX_EMPTYING && !worker.runs().isEmpty()) {
+      return Integer.MAX_VALUE;
+    }
+    return worker.runs().isEmpty() ? 0 : 1 + worker.runs().size();
+  }
+
+  private boolean hasTooMany(
+      final Pool pool, final Machine machine, final long now, final long nanos) {
+    final Long since = surplusSince.get(pool.name);
+    return since != null
+        && now - since >= nanos
+        && pool.workers > pool.minWorkers
+        && pool.present - machine.capacity().cpuMillis() >= pool.wanted;
+  }
+
+  private boolean isMovable(final Machine machine, final Set<String> reserved) {
+    final WorkerState worker = fleet.worker(machine.worker());
+    return machine.state() == MachineState.UP
+        && !isMoving(machine.id())
+        && !reserved.contains(machine.id())
+        && (worker == null || !worker.isCordoned() && !worker.entry().draining());
+  }
+
+  private void returnIdle(
+      final Map<String, Pool> pools,
+      final Set<String> reserved,
+      final long now,
+      final List<Move> ready) {
+    if (spare().isEmpty()) {
+      return;
+    }
+    for (final Machine machine : List.copyOf(machines.all())) {
+      final Pool pool = pools.get(machine.pool());
+      final WorkerState worker = fleet.worker(machine.worker());
+      if (pool != null
+          && worker != null
+          && worker.isSynced()
+          && isMovable(machine, reserved)
+          && worker.runs().stream().allMatch(run -> isLasting(run))
+          && emptying.size() < MAX_EMPTYING
+          && hasTooMany(pool, machine, now, IDLE_NANOS)) {
+        begin(machine, null, pools, now, ready);
+      }
+    }
+  }
+
+  private static boolean isLasting(final TaskRun run) {
+    return run.task().step().spec().longRunning();
+  }
+
+  private String spare() {
+    for (final ServiceSpec service : jobs.configuration().services()) {
+      if (service.spare()) {
+        return service.name();
+      }
+    }
+    return "";
+  }
+}
--- a/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
@@ -3,8 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.lentilsail.model.job.Machine;
 import org.lentilsail.model.job.MachineState;
 
@@ -17,6 +20,10 @@
   /** Machines that are emptied while the permitted number is down. */
   private static final int AHEAD = 1;
 
+  /** Time in ns after which a worker that no entry names is taken as one without work. */
+  private static final long UNKNOWN_NANOS = 3_000_000_000L;
+
+  private final Map<String, Long> unknownSince = new HashMap<>();
   private final Fleet fleet;
   private final MachineBook machines;
   private final Evacuation evacuation;
@@ -43,16 +50,18 @@
    *
    * @param wave the wave
    * @param now monotonic time in ns
+   * @param isMoving whether a machine is about to move to another pool
    * @return machines to be maintained now
    */
-  public List<Upkeep> plan(final Wave wave, final long now) {
+  public List<Upkeep> plan(
+      final Wave wave, final long now, final Predicate<String> isMoving) {
     final List<Upkeep> ready = new ArrayList<>();
     if (!machines.isKnown()) {
       return ready;
     }
     final int free = wave.request().atMost() - wave.down(machines);
     int emptying = 0;
-    for (final Machine machine : candidates(wave, now)) {
+    for (final Machine machine : candidates(wave, now, isMoving)) {
       if (emptying >= free + AHEAD) {
         break;
       }
@@ -77,13 +86,31 @@
     }
   }
 
-  private List<Machine> candidates(final Wave wave, final long now) {
+  /**
+   * Returns the machines that are being emptied.
+   *
+   * @return ids of the machines
+   */
+  public Set<String> emptying() {
+    final Set<String> found = new HashSet<>();
+    for (final Machine machine : machines.all()) {
+      if (emptyingSince.containsKey(machine.worker())) {
+        found.add(machine.id());
+      }
+    }
+    return found;
+  }
+
+  private List<Machine> candidates(
+      final Wave wave, final long now, final Predicate<String> isMoving) {
     final List<Machine> found = new ArrayList<>();
     for (final String id : wave.request().machines()) {
       final Machine machine = machines.machine(id);
       if (machine == null) {
         wave.skip(id);
-      } else if (wave.mayOrder(id, now) && machine.state() == MachineState.UP) {
+      } else if (wave.mayOrder(id, now)
+          && machine.state() == MachineState.UP
+          && !isMoving.test(id)) {
         found.add(machine);
       }
     }
@@ -98,10 +125,19 @@
     return worker == null ? 0 : worker.runs().size();
   }
 
+  /** A worker that is not known yet may hold work of an earlier holder. */
+  private boolean hasLongBeenUnknown(final Machine machine, final long now) {
+    final long since = unknownSince.computeIfAbsent(machine.worker(), id -> now);
+    return now - since >= UNKNOWN_NANOS;
+  }
+
   private boolean isEmpty(final Machine machine, final long now) {
     final WorkerState worker = fleet.worker(machine.worker());
     if (worker == null) {
-      return true;
+      return machine.worker().isEmpty() || hasLongBeenUnknown(machine, now);
+    }
+    if (!worker.isSynced()) {
+      return false;
     }
     if (!worker.isCordoned()) {
       worker.cordoned(true);
