Reset the connection of a call that was given up

Change: connections of failed calls are reset. Test: UndertowHttpCallerTest, which failed without it.

--- a/library/src/main/java/org/lentilsail/http/CallInProgress.java
+++ b/library/src/main/java/org/lentilsail/http/CallInProgress.java
@@ -7,7 +7,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import org.tinylog.Logger;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -151,7 +153,20 @@
   private void closeConnection() {
     final ClientConnection open = connection.getAndSet(null);
     if (open != null) {
-      open.getIoThread().execute(() -> IoUtils.safeClose(open));
+      open.getIoThread().execute(() -> abort(open));
     }
   }
+
+  /**
+   * Resets a connection. An ordinary close would go on sending what a network partition holds back,
+   * and the server would carry the request out long after the call has been given up.
+   */
+  private static void abort(final ClientConnection open) {
+    try {
+      open.setOption(Options.CLOSE_ABORT, true);
+    } catch (final IOException error) {
+      Logger.debug("http: cannot reset the connection to {}: {}", open.getPeerAddress(), error);
+    }
+    IoUtils.safeClose(open);
+  }
 }
--- a/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
+++ b/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
@@ -9,9 +9,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -72,6 +75,19 @@
     }
   }
 
+  @Test
+  void resetsTheConnectionOfCallThatTimedOut() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      final InetSocketAddress address =
+          new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+      final CompletableFuture<HttpResponse> call = caller.call(get(address, 200));
+      try (Socket accepted = server.accept()) {
+        assertThrows(ExecutionException.class, call::get);
+        assertThrows(SocketException.class, () -> accepted.getInputStream().readAllBytes());
+      }
+    }
+  }
+
   @Test
   void neverUsesConnectionThatTheServerCloses() throws Exception {
     try (RawServer server =
