Let the lease of a silent worker expire

Found by JobNodeTest.restartsWorkOfCrashedWorkerAfterItsLease. Change: leases are renewed only at workers that answer; callbacks log what they throw; simulated store, workers and machines on a paused clock drive whole job nodes in tests.

--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -187,13 +189,14 @@
     lease
         .grant()
         .whenCompleteAsync(
-            (granted, failure) -> {
-              if (failure != null) {
-                claimFailed("no lease: " + failure.getMessage());
-              } else {
-                commitClaim(granted, sentAt);
-              }
-            },
+            logged(
+                (granted, failure) -> {
+                  if (failure != null) {
+                    claimFailed("no lease: " + failure.getMessage());
+                  } else {
+                    commitClaim(granted, sentAt);
+                  }
+                }),
             executor);
   }
 
@@ -209,13 +212,14 @@
     store
         .commit(commit)
         .whenCompleteAsync(
-            (result, failure) -> {
-              if (failure != null) {
-                readBack(granted, sentAt, number, mark);
-              } else {
-                judge(result, granted, sentAt, number);
-              }
-            },
+            logged(
+                (result, failure) -> {
+                  if (failure != null) {
+                    readBack(granted, sentAt, number, mark);
+                  } else {
+                    judge(result, granted, sentAt, number);
+                  }
+                }),
             executor);
   }
 
@@ -238,14 +242,15 @@
         .get(StoreKeys.HOLDER)
         .thenCombine(store.get(StoreKeys.TERM), Claimed::new)
         .whenCompleteAsync(
-            (claimed, failure) -> {
-              if (failure == null && claimed.isMine(mark)) {
-                won(granted, sentAt, number, claimed.term().get().revision());
-              } else {
-                lease.discard(granted);
-                claimFailed("the claim was not answered");
-              }
-            },
+            logged(
+                (claimed, failure) -> {
+                  if (failure == null && claimed.isMine(mark)) {
+                    won(granted, sentAt, number, claimed.term().get().revision());
+                  } else {
+                    lease.discard(granted);
+                    claimFailed("the claim was not answered");
+                  }
+                }),
             executor);
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/HolderLease.java
+++ b/library/src/main/java/org/lentilsail/jobs/HolderLease.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -134,11 +136,12 @@
     store
         .renewLease(lease.id())
         .whenCompleteAsync(
-            (alive, failure) -> {
-              if (expected == generation) {
-                judge(alive, failure, sentAt, sentWallMillis);
-              }
-            },
+            logged(
+                (alive, failure) -> {
+                  if (expected == generation) {
+                    judge(alive, failure, sentAt, sentWallMillis);
+                  }
+                }),
             executor);
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -58,30 +60,28 @@
   }
 
   private void logLoad(final PoolLoad load) {
-    parts
-        .log()
-        .log(
-            "pool-load",
-            "service",
-            load.service(),
-            "workers",
-            load.workers(),
-            "cpu",
-            load.capacity().cpuMillis(),
-            "lastingCpu",
-            load.lasting().cpuMillis(),
-            "shortCpu",
-            load.shortRunning().cpuMillis(),
-            "memoryMb",
-            load.capacity().memoryMb(),
-            "lastingMb",
-            load.lasting().memoryMb(),
-            "shortMb",
-            load.shortRunning().memoryMb(),
-            "workMs",
-            Math.round(load.workMillis()),
-            "waiting",
-            load.waitingTasks());
+    parts.log().log(
+        "pool-load",
+        "service",
+        load.service(),
+        "workers",
+        load.workers(),
+        "cpu",
+        load.capacity().cpuMillis(),
+        "lastingCpu",
+        load.lasting().cpuMillis(),
+        "shortCpu",
+        load.shortRunning().cpuMillis(),
+        "memoryMb",
+        load.capacity().memoryMb(),
+        "lastingMb",
+        load.lasting().memoryMb(),
+        "shortMb",
+        load.shortRunning().memoryMb(),
+        "workMs",
+        Math.round(load.workMillis()),
+        "waiting",
+        load.waitingTasks());
   }
 
   private void publish(final long now, final Term term) {
@@ -134,12 +134,13 @@
         .store()
         .commit(commit)
         .whenCompleteAsync(
-            (result, failure) -> {
-              busy = false;
-              if (failure == null && result.applied()) {
-                done.run();
-              }
-            },
+            logged(
+                (result, failure) -> {
+                  busy = false;
+                  if (failure == null && result.applied()) {
+                    done.run();
+                  }
+                }),
             parts.executor());
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -90,8 +92,7 @@
     writer = new ProgressWriter(parts, jobs, term, election::superseded);
     roster = new Roster(parts, term, this::admitted, election::superseded);
     directory = new MachineDirectory(parts);
-    waves =
-        new WaveRunner(parts, fleet, jobs, ledger, directory, this::changed, this::forget);
+    waves = new WaveRunner(parts, fleet, jobs, ledger, directory, this::changed, this::forget);
     moves = new MoveRunner(parts, fleet, jobs, ledger, directory, this::forget);
     housekeeping = new Housekeeping(parts, jobs, fleet);
     input = new JobInput(parts, jobs, ledger, this::inputLoaded, this::changed);
@@ -229,21 +230,22 @@
     final CompletableFuture<Optional<StoredItem>> members = parts.store().get(StoreKeys.ROSTER);
     CompletableFuture.allOf(progress, waveItems, members)
         .whenCompleteAsync(
-            (done, failure) -> {
-              if (closed) {
-                return;
-              }
-              if (failure != null) {
-                parts.log().log("control-load-failed", "reason", failure.getMessage());
-                parts.executor().schedule(this::load, LOAD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-                return;
-              }
-              input.restore(progress.join().items());
-              waves.restore(waveItems.join().items());
-              restoreRoster(members.join());
-              inputFollower.start();
-              registryFollower.start();
-            },
+            logged(
+                (done, failure) -> {
+                  if (closed) {
+                    return;
+                  }
+                  if (failure != null) {
+                    parts.log().log("control-load-failed", "reason", failure.getMessage());
+                    parts.executor().schedule(this::load, LOAD_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+                    return;
+                  }
+                  input.restore(progress.join().items());
+                  waves.restore(waveItems.join().items());
+                  restoreRoster(members.join());
+                  inputFollower.start();
+                  registryFollower.start();
+                }),
             parts.executor());
   }
 
@@ -302,6 +304,7 @@
     if (closed || fleet.worker(entry.id()) != null) {
       return;
     }
+    parts.log().log("worker-admitted", "worker", entry.id(), "service", entry.service());
     final WorkerState worker = new WorkerState(entry);
     fleet.add(worker);
     final WorkerSession session = new WorkerSession(parts, worker, ledger, term.number(), this);
--- a/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.util.HashSet;
 import java.util.Set;
 import org.lentilsail.policy.job.MachineBook;
@@ -46,14 +48,15 @@
         .machines()
         .list()
         .whenCompleteAsync(
-            (present, failure) -> {
-              listing = false;
-              if (failure != null) {
-                parts.log().log("machine-list-failed", "reason", failure.getMessage());
-              } else {
-                machines.replace(present, now);
-              }
-            },
+            logged(
+                (present, failure) -> {
+                  listing = false;
+                  if (failure != null) {
+                    parts.log().log("machine-list-failed", "reason", failure.getMessage());
+                  } else {
+                    machines.replace(present, now);
+                  }
+                }),
             parts.executor());
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -48,8 +50,7 @@
     this.workerEnded = workerEnded;
     this.loads = new PoolLoads(jobs, fleet);
     this.planner =
-        new PoolPlanner(
-            jobs, fleet, directory.machines(), new Evacuation(ledger, fleet, jobs));
+        new PoolPlanner(jobs, fleet, directory.machines(), new Evacuation(ledger, fleet, jobs));
   }
 
   void close() {
@@ -81,8 +82,7 @@
                   machine == null
                       || machine.pool().equals(entry.move().pool())
                       || machine.state() != MachineState.UP;
-              final boolean over =
-                  fresh && shown || now - entry.answeredAt() > GIVE_UP_NANOS;
+              final boolean over = fresh && shown || now - entry.answeredAt() > GIVE_UP_NANOS;
               if (over) {
                 planner.ended(id);
                 release(entry.move());
@@ -101,29 +101,28 @@
         .machines()
         .move(machine, move.pool(), term.number())
         .whenCompleteAsync(
-            (answer, failure) -> {
-              directory.end(machine);
-              if (!closed) {
-                ordered(move, answer);
-              }
-            },
+            logged(
+                (answer, failure) -> {
+                  directory.end(machine);
+                  if (!closed) {
+                    ordered(move, answer);
+                  }
+                }),
             parts.executor());
   }
 
   private void ordered(final PoolPlanner.Move move, final MachineAnswer answer) {
     final long now = parts.time().nanos();
-    parts
-        .log()
-        .log(
-            "machine-move",
-            "machine",
-            move.machine().id(),
-            "from",
-            move.machine().pool(),
-            "to",
-            move.pool(),
-            "answer",
-            answer);
+    parts.log().log(
+        "machine-move",
+        "machine",
+        move.machine().id(),
+        "from",
+        move.machine().pool(),
+        "to",
+        move.pool(),
+        "answer",
+        answer);
     final String worker = move.machine().worker();
     if (answer == MachineAnswer.DONE) {
       if (fleet.worker(worker) != null) {
--- a/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -81,11 +83,12 @@
         .store()
         .commit(commit)
         .whenCompleteAsync(
-            (result, failure) -> {
-              if (!closed) {
-                judge(batch, result, failure);
-              }
-            },
+            logged(
+                (result, failure) -> {
+                  if (!closed) {
+                    judge(batch, result, failure);
+                  }
+                }),
             parts.executor());
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -88,20 +90,21 @@
                 .when(StoreKeys.TERM, used.revision())
                 .write(StoreKeys.ROSTER, Documents.write(document), 0))
         .whenCompleteAsync(
-            (result, failure) -> {
-              busy = false;
-              if (closed) {
-                return;
-              }
-              if (failure == null && result.applied()) {
-                written.forEach(admitted);
-                write();
-              } else if (failure == null && used.equals(term)) {
-                superseded.run();
-              } else {
-                again(written);
-              }
-            },
+            logged(
+                (result, failure) -> {
+                  busy = false;
+                  if (closed) {
+                    return;
+                  }
+                  if (failure == null && result.applied()) {
+                    written.forEach(admitted);
+                    write();
+                  } else if (failure == null && used.equals(term)) {
+                    superseded.run();
+                  } else {
+                    again(written);
+                  }
+                }),
             parts.executor());
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/Submissions.java
+++ b/library/src/main/java/org/lentilsail/jobs/Submissions.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -116,16 +118,17 @@
     store
         .commit(commit)
         .whenCompleteAsync(
-            (result, failure) -> {
-              commits--;
-              if (failure == null) {
-                availability.answered();
-                judge(batch, result);
-              } else {
-                failed(batch, failure);
-              }
-              send();
-            },
+            logged(
+                (result, failure) -> {
+                  commits--;
+                  if (failure == null) {
+                    availability.answered();
+                    judge(batch, result);
+                  } else {
+                    failed(batch, failure);
+                  }
+                  send();
+                }),
             executor);
   }
 
@@ -163,13 +166,14 @@
     store
         .get(pending.key())
         .whenCompleteAsync(
-            (item, failure) -> {
-              if (failure == null && item.isPresent()) {
-                answer(pending, SubmitOutcome.ACCEPTED, "found after a lost answer");
-              } else {
-                answer(pending, SubmitOutcome.UNKNOWN, reason);
-              }
-            },
+            logged(
+                (item, failure) -> {
+                  if (failure == null && item.isPresent()) {
+                    answer(pending, SubmitOutcome.ACCEPTED, "found after a lost answer");
+                  } else {
+                    answer(pending, SubmitOutcome.UNKNOWN, reason);
+                  }
+                }),
             executor);
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -59,9 +61,8 @@
     this.fleet = fleet;
     this.ledger = ledger;
     this.changed = changed;
-    this.planner = 
-        new WavePlanner(
-            fleet, directory.machines(), new Evacuation(ledger, fleet, jobs));
+    this.planner =
+        new WavePlanner(fleet, directory.machines(), new Evacuation(ledger, fleet, jobs));
   }
 
   /** Takes over which machines earlier holders have maintained. */
@@ -133,12 +134,13 @@
         .machines()
         .maintain(machine, upkeep.wave().request().number(), term.number())
         .whenCompleteAsync(
-            (answer, failure) -> {
-              directory.end(machine);
-              if (!closed) {
-                ordered(upkeep, answer);
-              }
-            },
+            logged(
+                (answer, failure) -> {
+                  directory.end(machine);
+                  if (!closed) {
+                    ordered(upkeep, answer);
+                  }
+                }),
             parts.executor());
   }
 
@@ -208,13 +210,14 @@
                     parts.documents().waveStatus(wave.isComplete()),
                     0))
         .whenCompleteAsync(
-            (result, failure) -> {
-              writing = false;
-              if (failure == null && result.applied()) {
-                statusWritten.put(number, wanted);
-                parts.log().log("wave-status", "wave", number, "status", wanted);
-              }
-            },
+            logged(
+                (result, failure) -> {
+                  writing = false;
+                  if (failure == null && result.applied()) {
+                    statusWritten.put(number, wanted);
+                    parts.log().log("wave-status", "wave", number, "status", wanted);
+                  }
+                }),
             parts.executor());
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
@@ -132,7 +134,9 @@
     final long sentAt = parts.time().nanos();
     final boolean known = worker.clock().isKnown();
     long until = 0;
-    if (known && events.isSure()) {
+    // A look without an answer may have been carried out, so it must not put off the time at which
+    // the runs of a silent worker have surely ended.
+    if (known && worker.isAnswering() && events.isSure()) {
       until = worker.clock().estimate(sentAt) + leaseMillis();
       worker.leaseUntil(until);
     }
@@ -144,7 +148,8 @@
         .workers()
         .look(worker.entry(), new LookOrder(until, token, endsKept, wait))
         .whenCompleteAsync(
-            (reply, failure) -> guarded(() -> looked(turn, reply, sentAt)), parts.executor());
+            logged((reply, failure) -> guarded(() -> looked(turn, reply, sentAt))),
+            parts.executor());
   }
 
   /** Runs a callback; a fault in it is logged and does not end the session. */
@@ -320,13 +325,14 @@
       if (reply != null) {
         ordersSent++;
         reply.whenCompleteAsync(
-            (answer, failure) -> {
-              ordersSent--;
-              if (!closed) {
-                guarded(() -> answered(order, answer));
-                sendNext();
-              }
-            },
+            logged(
+                (answer, failure) -> {
+                  ordersSent--;
+                  if (!closed) {
+                    guarded(() -> answered(order, answer));
+                    sendNext();
+                  }
+                }),
             parts.executor());
       }
     }
--- a/library/src/main/java/org/lentilsail/store/PrefixFollower.java
+++ b/library/src/main/java/org/lentilsail/store/PrefixFollower.java
@@ -1,5 +1,7 @@
 package org.lentilsail.store;
 
+import static org.lentilsail.store.Callbacks.logged;
+
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -81,21 +83,22 @@
     }
     RangeReader.readAll(store, prefix)
         .whenCompleteAsync(
-            (page, failure) -> {
-              if (closed) {
-                return;
-              }
-              if (failure != null) {
-                failed("read", failure, this::read);
-                return;
-              }
-              answered();
-              loaded = true;
-              revision = page.revision();
-              listener.snapshot(page.items());
-              listener.settled();
-              watch();
-            },
+            logged(
+                (page, failure) -> {
+                  if (closed) {
+                    return;
+                  }
+                  if (failure != null) {
+                    failed("read", failure, this::read);
+                    return;
+                  }
+                  answered();
+                  loaded = true;
+                  revision = page.revision();
+                  listener.snapshot(page.items());
+                  listener.settled();
+                  watch();
+                }),
             executor);
   }
 
@@ -112,17 +115,18 @@
     store
         .watch(prefix, revision, WAIT)
         .whenCompleteAsync(
-            (batch, failure) -> {
-              if (closed) {
-                return;
-              }
-              if (failure != null) {
-                failed("watch", failure, this::watch);
-                return;
-              }
-              answered();
-              take(batch);
-            },
+            logged(
+                (batch, failure) -> {
+                  if (closed) {
+                    return;
+                  }
+                  if (failure != null) {
+                    failed("watch", failure, this::watch);
+                    return;
+                  }
+                  answered();
+                  take(batch);
+                }),
             executor);
   }
 
--- a/library/src/test/java/org/lentilsail/ManualExecutor.java
+++ b/library/src/test/java/org/lentilsail/ManualExecutor.java
@@ -67,7 +67,18 @@
   @Override
   public <V> ScheduledFuture<V> schedule(
       final Callable<V> callable, final long delay, final TimeUnit unit) {
-    throw new UnsupportedOperationException("schedule a Runnable");
+    schedule(
+        (Runnable)
+            () -> {
+              try {
+                callable.call();
+              } catch (final Exception error) {
+                throw new IllegalStateException(error);
+              }
+            },
+        delay,
+        unit);
+    return null;
   }
 
   @Override
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolLoad.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolLoad.java
@@ -13,7 +13,8 @@
  * @param workMillis estimated work left of jobs that are not done, in core-milliseconds
  * @param waitingTasks tasks that could start and have no worker
  * @param waitingCpu processor that the short ones of these tasks ask for, in thousandths of a core
- * @param arrivingCpu processor that would keep up with the jobs that arrive, in thousandths of a core
+ * @param arrivingCpu processor that would keep up with the jobs that arrive, in thousandths of a
+ *     core
  * @param minWorkers fewest workers on which all tasks that last find a place
  */
 public record PoolLoad(
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolLoads.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolLoads.java
@@ -118,8 +118,7 @@
     if (spec.longRunning()) {
       sum.minWorkers = Math.max(sum.minWorkers, workersOf(spec));
     } else {
-      sum.work +=
-          (double) step.left() * spec.estimateMillis() * spec.demand().cpuMillis() / 1000;
+      sum.work += (double) step.left() * spec.estimateMillis() * spec.demand().cpuMillis() / 1000;
     }
     for (final Task task : step.tasks()) {
       if (ready && task.isWaiting()) {
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -13,9 +13,9 @@
 import org.lentilsail.model.job.ServiceSpec;
 
 /**
- * Moves machines to the pools whose work they can do soonest: from the spare pool and from pools with
- * more than they need, and back to the spare pool when no pool needs them. A machine is emptied
- * before it moves. Owned by the control thread.
+ * Moves machines to the pools whose work they can do soonest: from the spare pool and from pools
+ * with more than they need, and back to the spare pool when no pool needs them. A machine is
+ * emptied before it moves. Owned by the control thread.
  */
 public final class PoolPlanner {
   /** Time in ns for which a pool must have had a machine too many before it gives one to a pool. */
@@ -266,8 +266,7 @@
   }
 
   /** Returns the runs on a machine that may be given away, or the largest number. */
-  private int runsIfGiven(
-      final Machine machine, final Map<String, Pool> pools, final long now) {
+  private int runsIfGiven(final Machine machine, final Map<String, Pool> pools, final long now) {
     if (machine.pool().equals(spare())) {
       return 1;
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolTargets.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolTargets.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 
 /**
- * Works out how much processor a pool should have. Demand of a queue rises within a second to several
- * times its mean, stays there for some seconds and falls again, while the queues take turns: so the
- * target follows at once what runs, waits and arrives, falls slowly, and keeps a base that meets the
- * begin of a rise until machines have moved. Owned by the control thread.
+ * Works out how much processor a pool should have. Demand of a queue rises within a second to
+ * several times its mean, stays there for some seconds and falls again, while the queues take
+ * turns: so the target follows at once what runs, waits and arrives, falls slowly, and keeps a base
+ * that meets the begin of a rise until machines have moved. Owned by the control thread.
  */
 public final class PoolTargets {
   /** Room over what runs, for tasks of different sizes that do not fill their workers. */
--- a/policy/src/main/java/org/lentilsail/policy/job/StuckRuns.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/StuckRuns.java
@@ -5,8 +5,8 @@
 
 /**
  * Finds runs that stand still: they use no processor although they have been running for some time.
- * Their worker gets no work for some time, and their tasks start elsewhere. Tasks that last are left
- * alone, because they use no processor while nobody calls them.
+ * Their worker gets no work for some time, and their tasks start elsewhere. Tasks that last are
+ * left alone, because they use no processor while nobody calls them.
  */
 public final class StuckRuns {
   /** Time in ns without processor use; the figure of a worker covers its last 500 ms. */
--- a/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
@@ -53,8 +53,7 @@
    * @param isMoving whether a machine is about to move to another pool
    * @return machines to be maintained now
    */
-  public List<Upkeep> plan(
-      final Wave wave, final long now, final Predicate<String> isMoving) {
+  public List<Upkeep> plan(final Wave wave, final long now, final Predicate<String> isMoving) {
     final List<Upkeep> ready = new ArrayList<>();
     if (!machines.isKnown()) {
       return ready;
--- /dev/null
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
@@ -0,0 +1,80 @@
+package org.lentilsail.standin.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lentilsail.model.job.TaskId;
+
+/** Records what workers have run, and which promises that breaks. */
+public final class RunHistory {
+  private final Map<TaskId, Set<Integer>> running = new HashMap<>();
+  private final Set<TaskId> done = new HashSet<>();
+  private final Map<TaskId, Integer> starts = new HashMap<>();
+  private final List<String> violations = new ArrayList<>();
+
+  void started(final TaskId task, final int run, final long nanos) {
+    if (done.contains(task)) {
+      violations.add(task.text() + " run " + run + " started after it was done, at " + nanos);
+    }
+    final Set<Integer> others = running.computeIfAbsent(task, key -> new HashSet<>());
+    if (!others.isEmpty()) {
+      violations.add(task.text() + " run " + run + " started beside " + others + " at " + nanos);
+    }
+    others.add(run);
+    starts.merge(task, 1, Integer::sum);
+  }
+
+  void ended(final TaskId task, final int run, final boolean success, final long nanos) {
+    running.getOrDefault(task, new HashSet<>()).remove(run);
+    if (success && !done.add(task)) {
+      violations.add(task.text() + " run " + run + " was done a second time, at " + nanos);
+    }
+  }
+
+  /**
+   * Returns what has gone wrong.
+   *
+   * @return tasks that ran twice at the same time, or again after they were done
+   */
+  public List<String> violations() {
+    return List.copyOf(violations);
+  }
+
+  /**
+   * Returns the tasks that are done.
+   *
+   * @return names of the tasks
+   */
+  public Set<TaskId> done() {
+    return Set.copyOf(done);
+  }
+
+  /**
+   * Counts the starts of all tasks of a job.
+   *
+   * @param job id of the job
+   * @return number of starts
+   */
+  public int starts(final String job) {
+    return starts.entrySet().stream()
+        .filter(entry -> entry.getKey().job().equals(job))
+        .mapToInt(Map.Entry::getValue)
+        .sum();
+  }
+
+  /**
+   * Counts the runs of a job that are under way.
+   *
+   * @param job id of the job
+   * @return number of runs
+   */
+  public int running(final String job) {
+    return running.entrySet().stream()
+        .filter(entry -> entry.getKey().job().equals(job))
+        .mapToInt(entry -> entry.getValue().size())
+        .sum();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedMachines.java
@@ -0,0 +1,73 @@
+package org.lentilsail.standin.jobs;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.lentilsail.model.job.Machine;
+import org.lentilsail.worker.MachineAnswer;
+import org.lentilsail.worker.MachineClient;
+
+/** The platform's machines; orders are recorded and shown in the list. */
+public final class SimulatedMachines {
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final List<Given> orders = new ArrayList<>();
+
+  /**
+   * An order that was given.
+   *
+   * @param daemon daemon that gave it
+   * @param token its fencing token
+   * @param machine id of the machine
+   * @param what pool or wave
+   */
+  public record Given(String daemon, long token, String machine, String what) {}
+
+  /**
+   * Adds or replaces a machine.
+   *
+   * @param machine the machine
+   */
+  public void put(final Machine machine) {
+    machines.put(machine.id(), machine);
+  }
+
+  /**
+   * Returns the orders.
+   *
+   * @return all orders in their order
+   */
+  public List<Given> orders() {
+    return List.copyOf(orders);
+  }
+
+  /**
+   * Returns the machines as one daemon sees them.
+   *
+   * @param daemon id of the daemon
+   * @return the machines
+   */
+  public MachineClient client(final String daemon) {
+    return new MachineClient() {
+      @Override
+      public CompletableFuture<List<Machine>> list() {
+        return CompletableFuture.completedFuture(List.copyOf(machines.values()));
+      }
+
+      @Override
+      public CompletableFuture<MachineAnswer> move(
+          final String machine, final String pool, final long token) {
+        orders.add(new Given(daemon, token, machine, pool));
+        return CompletableFuture.completedFuture(MachineAnswer.DONE);
+      }
+
+      @Override
+      public CompletableFuture<MachineAnswer> maintain(
+          final String machine, final long wave, final long token) {
+        orders.add(new Given(daemon, token, machine, "wave " + wave));
+        return CompletableFuture.completedFuture(MachineAnswer.DONE);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -0,0 +1,236 @@
+package org.lentilsail.standin.jobs;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.lentilsail.standin.jobs.SimulatedDeployment.gang;
+import static org.lentilsail.standin.jobs.SimulatedDeployment.lasting;
+import static org.lentilsail.standin.jobs.SimulatedDeployment.step;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lentilsail.jobs.JobNode;
+import org.lentilsail.jobs.SubmitOutcome;
+import org.lentilsail.model.job.JobState;
+
+/** Guards against lost jobs, work done twice and untrue answers, on daemons that fail. */
+class JobNodeTest {
+  private static final String JOB = "00000000000000a1";
+  private static final long TASK_MILLIS = 300;
+
+  private SimulatedDeployment deployment;
+  private JobNode first;
+  private JobNode second;
+
+  @BeforeEach
+  void start() {
+    deployment = new SimulatedDeployment(task -> task.job().startsWith("1") ? 0 : TASK_MILLIS);
+    deployment.startWorker("w1");
+    deployment.startWorker("w2");
+    first = deployment.startNode("d1");
+    deployment.advance(Duration.ofMillis(500));
+    second = deployment.startNode("d2");
+    deployment.advance(Duration.ofMillis(500));
+  }
+
+  @AfterEach
+  void nothingRanTwice() {
+    assertThat(deployment.workers.history().violations(), is(empty()));
+    deployment.close();
+  }
+
+  @Test
+  void runsStepsInTheirOrder() {
+    assertThat(deployment.submit(second, JOB, step(3), step(2, 0)), is(SubmitOutcome.ACCEPTED));
+    deployment.advance(Duration.ofMillis(TASK_MILLIS + 100));
+    assertThat(deployment.workers.history().starts(JOB), is(5));
+    deployment.advance(Duration.ofMillis(TASK_MILLIS));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+    assertThat(deployment.state(first, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
+  @Test
+  void makesOneJobOfAllSubmissionsOfAnId() {
+    deployment.submit(first, JOB, step(1));
+    assertThat(deployment.submit(second, JOB, step(1)), is(SubmitOutcome.ACCEPTED));
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(deployment.submit(second, JOB, step(1)), is(SubmitOutcome.ACCEPTED));
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(deployment.workers.history().starts(JOB), is(1));
+  }
+
+  @Test
+  void startsAllMembersOfGangOrNone() {
+    deployment.submit(first, JOB, gang(17));
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(deployment.workers.history().starts(JOB), is(0));
+    deployment.startWorker("w3");
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(deployment.workers.history().starts(JOB), is(17));
+  }
+
+  @Test
+  void knowsNothingOfJobThatNobodySubmitted() {
+    assertThat(deployment.state(second, JOB), is(Optional.empty()));
+    assertThat(deployment.cancel(second, JOB), is(SubmitOutcome.NOT_FOUND));
+  }
+
+  @Test
+  void stopsRunsOfCancelledJob() {
+    final String lastingJob = "1000000000000001";
+    deployment.submit(second, lastingJob, lasting(2));
+    deployment.advance(Duration.ofMillis(200));
+    assertThat(deployment.workers.history().running(lastingJob), is(2));
+    assertThat(deployment.cancel(second, lastingJob), is(SubmitOutcome.ACCEPTED));
+    deployment.advance(Duration.ofMillis(300));
+    assertThat(deployment.workers.history().running(lastingJob), is(0));
+    assertThat(deployment.state(first, lastingJob), is(Optional.of(JobState.CANCELLED)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 5, 10, 50, 150, 299, 301, 305, 320, 600})
+  void finishesJobsOfHolderThatIsLost(final int millisAfterSubmission) {
+    deployment.submit(second, JOB, step(6), step(6, 0));
+    deployment.advance(Duration.ofMillis(millisAfterSubmission));
+    deployment.isolate("d1");
+    deployment.advance(SimulatedDeployment.FAIL_OVER.plusSeconds(2));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+    assertThat(deployment.workers.history().done().size(), is(12));
+  }
+
+  @Test
+  void holderThatResignsIsReplacedWithinHalfSecond() {
+    deployment.submit(second, JOB, step(2), step(2, 0), step(2, 1));
+    deployment.advance(Duration.ofMillis(100));
+    first.resign();
+    deployment.advance(Duration.ofMillis(500));
+    assertThat(deployment.workers.history().starts(JOB), greaterThan(2));
+    deployment.advance(Duration.ofMillis(500));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
+  @Test
+  void doesNotRepeatWorkThatMayRunOnWorkerThatCannotBeAsked() {
+    final String lastingJob = "1000000000000002";
+    deployment.submit(second, lastingJob, lasting(2));
+    deployment.advance(Duration.ofMillis(200));
+    deployment.workers.cut("d2", "w1", true);
+    deployment.store.remove("servers/w1");
+    deployment.startWorker("w3");
+    deployment.isolate("d1");
+    deployment.advance(SimulatedDeployment.FAIL_OVER);
+    assertThat(deployment.workers.runs("w3"), is(0));
+    deployment.advance(Duration.ofMillis(SimulatedDeployment.MAX_LEASE_MILLIS + 500));
+    assertThat(deployment.workers.runs("w3"), is(1));
+  }
+
+  @Test
+  void restartsWorkOfCrashedWorkerAfterItsLease() {
+    final String lastingJob = "1000000000000003";
+    deployment.submit(second, lastingJob, lasting(2));
+    deployment.advance(Duration.ofMillis(200));
+    deployment.startWorker("w3");
+    deployment.workers.crash("w1");
+    deployment.advance(Duration.ofSeconds(6));
+    assertThat(deployment.workers.history().running(lastingJob), is(2));
+  }
+
+  @Test
+  void startsCarriedOutLateDoNotRunBesideTheirReplacement() {
+    deployment.workers.lateStarts(2_500);
+    deployment.submit(second, JOB, step(2));
+    deployment.advance(Duration.ofMillis(200));
+    deployment.workers.lateStarts(0);
+    deployment.advance(Duration.ofSeconds(5));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+    assertThat(deployment.workers.history().done().size(), is(2));
+  }
+
+  @Test
+  void refusesAtOnceWhileTheStoreRefusesThisDaemon() {
+    deployment.store.fault("d2", StoreFault.REFUSED);
+    assertThat(deployment.submit(second, JOB, step(1)), is(SubmitOutcome.NOT_ACCEPTED));
+    final long before = deployment.time.nanos();
+    assertThat(
+        deployment.submit(second, JOB.replace('a', 'b'), step(1)), is(SubmitOutcome.NOT_ACCEPTED));
+    assertThat(deployment.time.nanos() - before, lessThanOrEqualTo(2_000_000L));
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(deployment.workers.history().starts(JOB), is(0));
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"SILENT", "ANSWERS_LOST"})
+  void answersNeitherYesNorNoWhenTheOutcomeIsUnknown(final StoreFault fault) {
+    deployment.store.fault("d2", fault);
+    assertThat(deployment.submit(second, JOB, step(1)), is(SubmitOutcome.UNKNOWN));
+    deployment.store.fault("d2", StoreFault.NONE);
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(deployment.submit(second, JOB, step(1)), is(SubmitOutcome.ACCEPTED));
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(deployment.workers.history().starts(JOB), is(1));
+  }
+
+  @Test
+  void workSurvivesAnOutageOfTheStoreForAll() {
+    final String lastingJob = "1000000000000004";
+    deployment.submit(second, lastingJob, lasting(2));
+    deployment.advance(Duration.ofMillis(200));
+    deployment.store.fault("d1", StoreFault.SILENT);
+    deployment.store.fault("d2", StoreFault.SILENT);
+    deployment.advance(Duration.ofMillis(4_500));
+    deployment.store.fault("d1", StoreFault.NONE);
+    deployment.store.fault("d2", StoreFault.NONE);
+    deployment.advance(Duration.ofSeconds(3));
+    assertThat(deployment.workers.history().starts(lastingJob), is(2));
+    assertThat(deployment.workers.history().running(lastingJob), is(2));
+  }
+
+  @Test
+  void endsListedWhileTheStoreLosesAnswersAreKeptOnce() {
+    deployment.submit(second, JOB, step(4), step(4, 0));
+    deployment.advance(Duration.ofMillis(50));
+    deployment.store.fault("d1", StoreFault.ANSWERS_LOST);
+    deployment.advance(Duration.ofMillis(1_200));
+    deployment.store.fault("d1", StoreFault.NONE);
+    deployment.advance(Duration.ofSeconds(6));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
+  @Test
+  void jobsAcceptedBesideLostHistoryAreFound() {
+    deployment.store.compact();
+    deployment.submit(second, JOB, step(1));
+    deployment.store.compact();
+    deployment.advance(Duration.ofSeconds(2));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
+  @Test
+  void countsJobsThatWaitForWorkers() {
+    deployment.submit(first, JOB, gang(17));
+    deployment.advance(Duration.ofSeconds(1));
+    final int waiting =
+        deployment.await(second.gate().waiting(SimulatedDeployment.QUEUE), Duration.ofSeconds(1));
+    assertThat(waiting, is(1));
+  }
+
+  @Test
+  void restoresAllJobsAfterEveryDaemonWasLost() {
+    deployment.submit(second, JOB, step(4), step(4, 0));
+    deployment.advance(Duration.ofMillis(100));
+    deployment.isolate("d1");
+    deployment.isolate("d2");
+    deployment.advance(Duration.ofSeconds(1));
+    final JobNode third = deployment.startNode("d3");
+    deployment.advance(SimulatedDeployment.FAIL_OVER.plusSeconds(1));
+    assertThat(deployment.state(third, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -0,0 +1,246 @@
+package org.lentilsail.standin.jobs;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.ToLongFunction;
+import org.lentilsail.ManualExecutor;
+import org.lentilsail.jobs.ControlBounds;
+import org.lentilsail.jobs.ControlParts;
+import org.lentilsail.jobs.FleetDocuments;
+import org.lentilsail.jobs.JobNode;
+import org.lentilsail.jobs.SubmitOutcome;
+import org.lentilsail.log.DecisionLog;
+import org.lentilsail.model.job.JobConfiguration;
+import org.lentilsail.model.job.JobSpec;
+import org.lentilsail.model.job.JobState;
+import org.lentilsail.model.job.QueueSpec;
+import org.lentilsail.model.job.Resources;
+import org.lentilsail.model.job.ServiceSpec;
+import org.lentilsail.model.job.StepSpec;
+import org.lentilsail.model.job.SubmittedJob;
+import org.lentilsail.model.job.TaskId;
+import org.lentilsail.model.job.WaveRequest;
+import org.lentilsail.model.job.WorkerEntry;
+import org.lentilsail.model.time.PausedTime;
+import org.lentilsail.store.StoredItem;
+
+/** Daemons, workers and the store of a small deployment on one paused clock. */
+final class SimulatedDeployment {
+  static final String SERVICE = "booking";
+  static final String QUEUE = "holds";
+
+  /** Life in ms of the holder's lease, and some time to claim and to load. */
+  static final Duration FAIL_OVER = Duration.ofMillis(2_600);
+
+  /** Longest lease of a worker, as it is on the users' sites. */
+  static final long MAX_LEASE_MILLIS = 6_000;
+
+  private static final long WALL_ORIGIN = 1_700_000_000_000L;
+
+  final PausedTime time = new PausedTime(WALL_ORIGIN);
+  final ManualExecutor world = new ManualExecutor(time);
+  final MemoryStore store = new MemoryStore(time, world);
+  final SimulatedWorkers workers;
+  final SimulatedMachines machines = new SimulatedMachines();
+  private final Map<String, WorkerEntry> entries = new HashMap<>();
+  private final Map<String, JobNode> nodes = new LinkedHashMap<>();
+  private final List<DecisionLog> logs = new ArrayList<>();
+
+  SimulatedDeployment(final ToLongFunction<TaskId> durations) {
+    workers = new SimulatedWorkers(time, world, durations);
+    store.put("op/config", "configuration".getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Starts a daemon. */
+  JobNode startNode(final String daemon) {
+    final DecisionLog log = new DecisionLog(time, new PrintStream(OutputStream.nullOutputStream()));
+    logs.add(log);
+    final JobNode node =
+        new JobNode(
+            new ControlParts(
+                store.client(daemon),
+                workers.client(daemon),
+                machines.client(daemon),
+                new Documents(),
+                world,
+                time,
+                log,
+                new ControlBounds(MAX_LEASE_MILLIS, 2_000, 1_500, 120_000, 3_000)),
+            daemon);
+    nodes.put(daemon, node);
+    node.start();
+    return node;
+  }
+
+  /** Starts a worker and enters it into the store. */
+  void startWorker(final String id) {
+    final WorkerEntry entry =
+        new WorkerEntry(
+            id,
+            SERVICE,
+            InetSocketAddress.createUnresolved("10.0.0.1", 80),
+            "north",
+            false,
+            new Resources(8_000, 8_000, 0),
+            List.of("a", "rack-1"),
+            1);
+    entries.put(id, entry);
+    workers.start(entry);
+    store.put("servers/" + id, id.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Cuts a daemon off from everything, as a lost VM is. */
+  void isolate(final String daemon) {
+    store.fault(daemon, StoreFault.SILENT);
+    entries.keySet().forEach(worker -> workers.cut(daemon, worker, true));
+  }
+
+  void advance(final Duration step) {
+    world.advance(step);
+  }
+
+  /** Submits a job and waits until it is answered. */
+  SubmitOutcome submit(final JobNode node, final String id, final StepSpec... steps) {
+    final SubmittedJob job =
+        new SubmittedJob(
+            QUEUE, SERVICE, time.wallMillis(), new JobSpec(id, "work", List.of(steps), 0, 0, 0));
+    return await(node.gate().submit(job), Duration.ofSeconds(2));
+  }
+
+  Optional<JobState> state(final JobNode node, final String id) {
+    return await(node.gate().state(id), Duration.ofSeconds(2));
+  }
+
+  SubmitOutcome cancel(final JobNode node, final String id) {
+    return await(node.gate().cancel(id), Duration.ofSeconds(3));
+  }
+
+  <T> T await(final CompletableFuture<T> answer, final Duration limit) {
+    final long end = time.nanos() + limit.toNanos();
+    while (!answer.isDone() && time.nanos() < end) {
+      advance(Duration.ofMillis(1));
+    }
+    return answer.join();
+  }
+
+  void close() {
+    logs.forEach(DecisionLog::close);
+  }
+
+  static StepSpec step(final int count, final Integer... after) {
+    return new StepSpec(
+        count,
+        new Resources(1_000, 100, 0),
+        300,
+        List.of(after),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  /** A step whose tasks run until the job is cancelled. */
+  static StepSpec lasting(final int count) {
+    return new StepSpec(
+        count,
+        new Resources(1_000, 100, 0),
+        300,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        1,
+        false,
+        true,
+        "",
+        0,
+        false,
+        1);
+  }
+
+  /** A step whose tasks only work together. */
+  static StepSpec gang(final int count) {
+    return new StepSpec(
+        count,
+        new Resources(1_000, 100, 0),
+        300,
+        List.of(),
+        false,
+        true,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  /** Items of this deployment name what they hold. */
+  private final class Documents implements FleetDocuments {
+    @Override
+    public String workersPrefix() {
+      return "servers/";
+    }
+
+    @Override
+    public String operatorPrefix() {
+      return "op/";
+    }
+
+    @Override
+    public Optional<WorkerEntry> worker(final StoredItem item) {
+      return Optional.ofNullable(entries.get(new String(item.value(), StandardCharsets.UTF_8)));
+    }
+
+    @Override
+    public Optional<JobConfiguration> configuration(final StoredItem item) {
+      return item.key().equals("op/config")
+          ? Optional.of(
+              new JobConfiguration(
+                  1,
+                  List.of(new QueueSpec(QUEUE, "host", "/holds/", SERVICE, 0, 3, 1.6, 600, false)),
+                  List.of(new ServiceSpec(SERVICE, true, false)),
+                  0))
+          : Optional.empty();
+    }
+
+    @Override
+    public Optional<WaveRequest> wave(final StoredItem item) {
+      return Optional.empty();
+    }
+
+    @Override
+    public String waveStatusKey(final long number) {
+      return "status/" + number;
+    }
+
+    @Override
+    public byte[] waveStatus(final boolean completed) {
+      return new byte[0];
+    }
+  }
+}
