Record orders about machines before they are sent

Change: MachineOrders keeps machines with orders under way in the store; a new holder leaves them alone for 15 s; machines with an order on its way count as down. Tests: WavePlannerTest, which fails without.

--- a/library/src/main/java/org/lentilsail/jobs/Documents.java
+++ b/library/src/main/java/org/lentilsail/jobs/Documents.java
@@ -36,6 +36,9 @@
   /** Reads the machines maintained in a wave. */
   static final ObjectReader WAVE = MAPPER.readerFor(WaveDocument.class);
 
+  /** Reads the machines with orders under way. */
+  static final ObjectReader MACHINE_ORDERS = MAPPER.readerFor(MachineOrdersDocument.class);
+
   /** Reads the numbers of waiting jobs. */
   static final ObjectReader WAITING = MAPPER.readerFor(WaitingDocument.class);
 
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -228,7 +228,9 @@
     final CompletableFuture<ItemPage> waveItems =
         RangeReader.readAll(parts.store(), StoreKeys.WAVES);
     final CompletableFuture<Optional<StoredItem>> members = parts.store().get(StoreKeys.ROSTER);
-    CompletableFuture.allOf(progress, waveItems, members)
+    final CompletableFuture<Optional<StoredItem>> orders =
+        parts.store().get(StoreKeys.MACHINE_ORDERS);
+    CompletableFuture.allOf(progress, waveItems, members, orders)
         .whenCompleteAsync(
             logged(
                 (done, failure) -> {
@@ -243,6 +245,7 @@
                   input.restore(progress.join().items());
                   waves.restore(waveItems.join().items());
                   restoreRoster(members.join());
+                  directory.orders().restore(orders.join(), claimedAt);
                   inputFollower.start();
                   registryFollower.start();
                 }),
@@ -358,6 +361,7 @@
     }
     waves.tick(now, term, moves::isMoving);
     moves.tick(now, term, waves.maintained());
+    directory.orders().tick(now, term);
   }
 
   private void pass() {
--- a/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
@@ -2,40 +2,31 @@
 
 import static org.lentilsail.store.Callbacks.logged;
 
-import java.util.HashSet;
-import java.util.Set;
 import org.lentilsail.policy.job.MachineBook;
 
-/** Reads the list of machines from time to time and knows which have an order under way. */
+/** Reads the list of machines from time to time. */
 final class MachineDirectory {
   /** Time in ns between lists. */
   private static final long LIST_NANOS = 250_000_000L;
 
   private final ControlParts parts;
   private final MachineBook machines = new MachineBook();
-  private final Set<String> ordered = new HashSet<>();
+  private final MachineOrders orders;
   private boolean listing;
   private long listedAt = Long.MIN_VALUE / 2;
 
   MachineDirectory(final ControlParts parts) {
     this.parts = parts;
+    this.orders = new MachineOrders(parts);
   }
 
   MachineBook machines() {
     return machines;
   }
 
-  /** Marks an order as under way; false when the machine has one already. */
-  boolean begin(final String machine) {
-    return ordered.add(machine);
-  }
-
-  void end(final String machine) {
-    ordered.remove(machine);
-  }
-
-  Set<String> ordered() {
-    return ordered;
+  /** Returns the record of the orders that are under way. */
+  MachineOrders orders() {
+    return orders;
   }
 
   void refresh(final long now) {
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
@@ -0,0 +1,113 @@
+package org.lentilsail.jobs;
+
+import static org.lentilsail.store.Callbacks.logged;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.lentilsail.store.Commit;
+import org.lentilsail.store.StoredItem;
+
+/**
+ * Keeps in the store, before an order about a machine is sent, that the machine has one. An order
+ * may be held back by a network partition and be carried out seconds later, when another daemon
+ * holds control; that daemon leaves the machines with such orders alone for some time. Owned by the
+ * control thread.
+ */
+final class MachineOrders {
+  /** Time in ns for which an order without an answer may still be carried out. */
+  private static final long LATE_NANOS = 15_000_000_000L;
+
+  /** Time in ns between the answer to the last order and the record of it. */
+  private static final long CLEAR_NANOS = 1_000_000_000L;
+
+  private final ControlParts parts;
+  private final Set<String> underWay = new HashSet<>();
+  private final Map<String, Long> blockedUntil = new HashMap<>();
+  private final List<Order> waiting = new ArrayList<>();
+  private Set<String> kept = Set.of();
+  private boolean writing;
+  private long writtenAt = Long.MIN_VALUE / 2;
+
+  /** An order that waits to be recorded. */
+  private record Order(String machine, Runnable send, Runnable cancel) {}
+
+  MachineOrders(final ControlParts parts) {
+    this.parts = parts;
+  }
+
+  /** Takes over the orders of an earlier holder. */
+  void restore(final Optional<StoredItem> item, final long claimedAt) {
+    item.flatMap(found -> Documents.<MachineOrdersDocument>read(Documents.MACHINE_ORDERS, found))
+        .ifPresent(
+            document ->
+                document
+                    .machines()
+                    .forEach(machine -> blockedUntil.put(machine, claimedAt + LATE_NANOS)));
+  }
+
+  /** Marks an order as under way; false when the machine has one already. */
+  boolean begin(final String machine) {
+    return !blockedUntil.containsKey(machine) && underWay.add(machine);
+  }
+
+  /** Sends an order that has begun as soon as it is recorded. */
+  void send(final String machine, final Runnable send, final Runnable cancel) {
+    waiting.add(new Order(machine, send, cancel));
+  }
+
+  /** Ends an order; one without an answer blocks its machine for some time. */
+  void end(final String machine, final boolean answered) {
+    underWay.remove(machine);
+    if (!answered) {
+      blockedUntil.put(machine, parts.time().nanos() + LATE_NANOS);
+    }
+  }
+
+  /** Returns the machines that get no orders now. */
+  Set<String> reserved() {
+    final Set<String> reserved = new HashSet<>(underWay);
+    reserved.addAll(blockedUntil.keySet());
+    return reserved;
+  }
+
+  void tick(final long now, final Term term) {
+    blockedUntil.values().removeIf(until -> now >= until);
+    final boolean outdated = !kept.equals(reserved()) && now - writtenAt >= CLEAR_NANOS;
+    if (!writing && (!waiting.isEmpty() || outdated)) {
+      write(now, term);
+    }
+  }
+
+  private void write(final long now, final Term term) {
+    writing = true;
+    writtenAt = now;
+    final List<Order> recorded = List.copyOf(waiting);
+    waiting.clear();
+    final Set<String> machines = reserved();
+    parts
+        .store()
+        .commit(
+            Commit.empty()
+                .when(StoreKeys.TERM, term.revision())
+                .write(
+                    StoreKeys.MACHINE_ORDERS,
+                    Documents.write(new MachineOrdersDocument(List.copyOf(machines))),
+                    0))
+        .whenCompleteAsync(
+            logged(
+                (result, failure) -> {
+                  writing = false;
+                  final boolean done = failure == null && result.applied();
+                  if (done) {
+                    kept = machines;
+                  }
+                  recorded.forEach(order -> (done ? order.send() : order.cancel()).run());
+                }),
+            parts.executor());
+  }
+}
--- a/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
@@ -65,7 +65,7 @@
   void tick(final long now, final Term term, final Set<String> maintained) {
     settle(now);
     final Set<String> reserved = new HashSet<>(maintained);
-    reserved.addAll(directory.ordered());
+    reserved.addAll(directory.orders().reserved());
     planner.plan(loads.measure(now), reserved, now).forEach(move -> order(move, term));
   }
 
@@ -93,8 +93,23 @@
 
   private void order(final PoolPlanner.Move move, final Term term) {
     final String machine = move.machine().id();
-    if (!directory.begin(machine)) {
+    if (directory.orders().begin(machine)) {
+      directory.orders().send(machine, () -> send(move, term), () -> cancel(move));
+    } else {
       planner.ended(machine);
+      release(move);
+    }
+  }
+
+  private void cancel(final PoolPlanner.Move move) {
+    directory.orders().end(move.machine().id(), true);
+    planner.ended(move.machine().id());
+    release(move);
+  }
+
+  private void send(final PoolPlanner.Move move, final Term term) {
+    final String machine = move.machine().id();
+    if (closed) {
       return;
     }
     parts
@@ -103,7 +118,7 @@
         .whenCompleteAsync(
             logged(
                 (answer, failure) -> {
-                  directory.end(machine);
+                  directory.orders().end(machine, answer != MachineAnswer.UNKNOWN);
                   if (!closed) {
                     ordered(move, answer);
                   }
--- a/library/src/main/java/org/lentilsail/jobs/StoreKeys.java
+++ b/library/src/main/java/org/lentilsail/jobs/StoreKeys.java
@@ -23,6 +23,9 @@
   /** Numbers of waiting jobs by queue. */
   static final String WAITING = "waiting";
 
+  /** Machines with orders that may still be carried out. */
+  static final String MACHINE_ORDERS = "machine-orders";
+
   /** Machines maintained by wave. */
   static final String WAVES = "wave/";
 
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -127,7 +127,22 @@
 
   private void order(final WavePlanner.Upkeep upkeep, final Term term) {
     final String machine = upkeep.machine().id();
-    if (!directory.begin(machine)) {
+    if (directory.orders().begin(machine)) {
+      upkeep.wave().ordering(machine, upkeep.machine().worker());
+      directory.orders().send(machine, () -> send(upkeep, term), () -> cancel(upkeep));
+    }
+  }
+
+  private void cancel(final WavePlanner.Upkeep upkeep) {
+    final String machine = upkeep.machine().id();
+    directory.orders().end(machine, true);
+    final long again = parts.time().nanos() + RETRY_NANOS;
+    upkeep.wave().retry(machine, upkeep.machine().worker(), false, again);
+  }
+
+  private void send(final WavePlanner.Upkeep upkeep, final Term term) {
+    final String machine = upkeep.machine().id();
+    if (closed) {
       return;
     }
     parts
@@ -136,7 +151,7 @@
         .whenCompleteAsync(
             logged(
                 (answer, failure) -> {
-                  directory.end(machine);
+                  directory.orders().end(machine, true);
                   if (!closed) {
                     ordered(upkeep, answer);
                   }
--- a/policy/src/main/java/org/lentilsail/policy/job/Wave.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Wave.java
@@ -52,6 +52,17 @@
     return receivedAt;
   }
 
+  /**
+   * Records that an order is about to be sent; from now on the machine counts as down.
+   *
+   * @param machine id of the machine
+   * @param worker id of its worker, empty for none
+   */
+  public void ordering(final String machine, final String worker) {
+    down.put(machine, new Down(worker, Long.MAX_VALUE));
+    retryAt.put(machine, Long.MAX_VALUE);
+  }
+
   /**
    * Records that the maintenance of a machine has begun.
    *
@@ -73,6 +84,7 @@
   public void skip(final String machine) {
     ordered.add(machine);
     down.remove(machine);
+    retryAt.remove(machine);
   }
 
   /**
--- /dev/null
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -0,0 +1,183 @@
+package org.lentilsail.policy.job;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.lentilsail.model.job.JobConfiguration;
+import org.lentilsail.model.job.JobSpec;
+import org.lentilsail.model.job.Machine;
+import org.lentilsail.model.job.MachineState;
+import org.lentilsail.model.job.QueueSpec;
+import org.lentilsail.model.job.Resources;
+import org.lentilsail.model.job.ServiceSpec;
+import org.lentilsail.model.job.StepSpec;
+import org.lentilsail.model.job.SubmittedJob;
+import org.lentilsail.model.job.WorkerEntry;
+
+/** Jobs, workers and machines of two services and a spare pool, for tests of decisions. */
+final class JobFixture {
+  static final String BOOKING = "booking";
+  static final String STARTER = "starter";
+  static final String SPARE = "spare";
+  static final long MILLI = 1_000_000L;
+  static final long SECOND = 1_000 * MILLI;
+  static final int CORES = 64_000;
+
+  final JobBook jobs = new JobBook();
+  final Fleet fleet = new Fleet();
+  final MachineBook machines = new MachineBook();
+  final RunLedger ledger = new RunLedger(jobs, new RunNumbers(1));
+  final RecoveryGate gate = new RecoveryGate();
+  final Scheduler scheduler = new Scheduler(jobs, fleet, ledger, gate);
+  final Evacuation evacuation = new Evacuation(ledger, fleet, jobs);
+  private final List<Machine> listed = new ArrayList<>();
+  private int jobCount;
+
+  JobFixture() {
+    jobs.configuration(
+        new JobConfiguration(
+            1,
+            List.of(queue("holds", BOOKING, 0), queue("sheets", STARTER, 1)),
+            List.of(
+                new ServiceSpec(BOOKING, true, false),
+                new ServiceSpec(STARTER, true, false),
+                new ServiceSpec(SPARE, true, true)),
+            0));
+  }
+
+  /** Adds a machine with a worker that answers. */
+  WorkerState worker(final String id, final String service) {
+    return worker(id, service, "rack-1");
+  }
+
+  WorkerState worker(final String id, final String service, final String rack) {
+    final Resources capacity = new Resources(CORES, 256_000, 0);
+    final WorkerState worker =
+        new WorkerState(
+            new WorkerEntry(
+                id,
+                service,
+                InetSocketAddress.createUnresolved("10.0.0.1", 80),
+                "north",
+                false,
+                capacity,
+                List.of("a", rack),
+                1));
+    worker.answering(true);
+    worker.synced();
+    worker.clock().read(1_000, 0);
+    fleet.add(worker);
+    machine("m-" + id, service, id);
+    return worker;
+  }
+
+  /** Adds a machine without a worker. */
+  void machine(final String id, final String pool, final String worker) {
+    listed.add(
+        new Machine(
+            id,
+            pool,
+            MachineState.UP,
+            "north",
+            List.of(),
+            new Resources(CORES, 256_000, 0),
+            worker));
+  }
+
+  /** Gives a machine another worker, as after its maintenance. */
+  void replaceWorker(final String machine, final String worker) {
+    listed.replaceAll(
+        old ->
+            old.id().equals(machine)
+                ? new Machine(
+                    old.id(),
+                    old.pool(),
+                    old.state(),
+                    old.zone(),
+                    old.labels(),
+                    old.capacity(),
+                    worker)
+                : old);
+  }
+
+  /** Shows the machines as they are now. */
+  void list(final long now) {
+    machines.replace(listed, now);
+  }
+
+  JobRun submit(final String queue, final long now, final StepSpec... steps) {
+    jobCount++;
+    final String id = String.format("%016x", jobCount);
+    final String service = queue.equals("holds") ? BOOKING : STARTER;
+    return jobs.accept(
+        new SubmittedJob(queue, service, 0, new JobSpec(id, "work", List.of(steps), 0, 0, 0)),
+        0,
+        now);
+  }
+
+  /** Places work and confirms all starts. */
+  List<Order.Start> place(final long now) {
+    final List<Order.Start> starts = scheduler.place(now);
+    starts.forEach(start -> ledger.started(start.run(), now));
+    return starts;
+  }
+
+  /** Ends a run as its worker lists it. */
+  void end(final TaskRun run, final RunEnd how, final long now) {
+    final WorkerState worker = run.worker();
+    final ListedEnd end =
+        new ListedEnd(worker.endsSeen() + 1, run.task().id(), run.number(), how, "");
+    final List<ListedRun> running =
+        worker.runs().stream()
+            .filter(other -> other != run)
+            .map(other -> new ListedRun(other.task().id(), other.number(), "", 100, 1_000))
+            .toList();
+    ledger.listed(
+        worker, new WorkerList(1_000 + now / MILLI, 1, running, List.of(end)), now, now, 0);
+  }
+
+  static StepSpec step(
+      final int count, final int cpu, final long estimate, final Integer... after) {
+    return new StepSpec(
+        count,
+        new Resources(cpu, 1_000, 0),
+        estimate,
+        List.of(after),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  static StepSpec lasting(final int count, final int maxPerWorker, final int mayMiss) {
+    return new StepSpec(
+        count,
+        new Resources(6_000, 20_000, 0),
+        0,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        maxPerWorker,
+        false,
+        true,
+        "image",
+        0,
+        false,
+        mayMiss);
+  }
+
+  private static QueueSpec queue(final String name, final String service, final int priority) {
+    return new QueueSpec(name, "host", "/" + name + "/", service, priority, 2, 1.6, 600, false);
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/org/lentilsail/policy/job/WavePlannerTest.java
@@ -0,0 +1,73 @@
+package org.lentilsail.policy.job;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.lentilsail.policy.job.JobFixture.SECOND;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lentilsail.model.job.WaveRequest;
+
+/** Guards against too many machines down at once and tasks taken away beyond their budget. */
+class WavePlannerTest {
+  private final JobFixture fixture = new JobFixture();
+  private final WavePlanner planner =
+      new WavePlanner(fixture.fleet, fixture.machines, fixture.evacuation);
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3})
+  void countsMachinesWhoseOrderIsNotAnsweredYet(final int atMost) {
+    final Wave wave = wave(atMost, 5);
+    plan(wave, 0).forEach(upkeep -> wave.ordering(upkeep.machine().id(), ""));
+    assertThat(plan(wave, SECOND / 10), hasSize(0));
+  }
+
+  @Test
+  void goesOnWhenMachineIsBackWithNewWorker() {
+    final Wave wave = wave(1, 2);
+    final WavePlanner.Upkeep first = plan(wave, 0).get(0);
+    wave.began(first.machine().id(), first.machine().worker(), SECOND);
+    assertThat(plan(wave, SECOND / 2), hasSize(0));
+    fixture.list(2 * SECOND);
+    assertThat(plan(wave, 2 * SECOND), hasSize(0));
+    fixture.replaceWorker(first.machine().id(), "new");
+    fixture.list(3 * SECOND);
+    assertThat(plan(wave, 3 * SECOND), hasSize(1));
+  }
+
+  @Test
+  void keepsTheBudgetOfTasksThatLast() {
+    final Wave wave = wave(3, 3);
+    fixture.submit("holds", 0, JobFixture.lasting(3, 1, 1));
+    fixture.place(0);
+    assertThat(plan(wave, 3 * SECOND), hasSize(0));
+    plan(wave, 6 * SECOND);
+    final long stops =
+        fixture.ledger.takeOrders().stream().filter(Order.Stop.class::isInstance).count();
+    assertThat(stops, is(1L));
+  }
+
+  @Test
+  void leavesWorkerAloneWhoseRunsAreNotKnown() {
+    final Wave wave = wave(1, 1);
+    fixture.fleet.worker("w0").startAnew();
+    assertThat(plan(wave, SECOND), hasSize(0));
+  }
+
+  private Wave wave(final int atMost, final int machines) {
+    final String[] ids = new String[machines];
+    for (int i = 0; i < machines; i++) {
+      fixture.worker("w" + i, JobFixture.BOOKING);
+      ids[i] = "m-w" + i;
+    }
+    fixture.list(0);
+    return new Wave(new WaveRequest(1, List.of(ids), 20_000, atMost), 0);
+  }
+
+  private List<WavePlanner.Upkeep> plan(final Wave wave, final long now) {
+    return planner.plan(wave, now, machine -> false);
+  }
+}
