Take workers that no machine carries as ended, and order machines at once after a change of the holder

Change: the machine list resolves silent workers; MachineOrders also keeps recent orders; pools count workers that answer; arrivals count 1.6 times.

--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -91,7 +92,7 @@
     scheduler = new Scheduler(jobs, fleet, ledger, gate);
     writer = new ProgressWriter(parts, jobs, term, election::superseded);
     roster = new Roster(parts, term, this::admitted, election::superseded);
-    directory = new MachineDirectory(parts);
+    directory = new MachineDirectory(parts, this::machinesListed);
     waves = new WaveRunner(parts, fleet, jobs, ledger, directory, this::changed, this::forget);
     moves = new MoveRunner(parts, fleet, jobs, ledger, directory, this::forget);
     housekeeping = new Housekeeping(parts, jobs, fleet);
@@ -342,6 +343,7 @@
       for (final WorkerState worker : List.copyOf(fleet.workers())) {
         forgetWhenEmpty(worker);
       }
+      directory.refresh(now);
       if (isSure()) {
         tickMachines(now);
         housekeeping.tick(now, term);
@@ -352,18 +354,30 @@
     }
   }
 
-  /** A new holder gives no orders about machines until those of its predecessor have arrived. */
   private void tickMachines(final long now) {
-    directory.refresh(now);
-    final long quiet = parts.bounds().machineLeaseMillis() * NANOS_PER_MILLI;
-    if (term.number() > 1 && now - claimedAt < quiet) {
-      return;
-    }
     waves.tick(now, term, moves::isMoving);
     moves.tick(now, term, waves.maintained());
     directory.orders().tick(now, term);
   }
 
+  /** A worker that no working machine carries has ended, also when it cannot be asked. */
+  private void machinesListed(final long askedAt) {
+    final Set<String> carried = directory.machines().carriedWorkers();
+    for (final WorkerState worker : List.copyOf(fleet.workers())) {
+      if (!worker.isAnswering()
+          && worker.silentSince() < askedAt
+          && (!worker.runs().isEmpty() || gate.isPending(worker.id()))
+          && !carried.contains(worker.id())) {
+        parts.log().log("worker-ended", "worker", worker.id(), "runs", worker.runs().size());
+        worker.unlisted();
+        ledger.lost(worker, parts.time().nanos());
+        gate.resolved(worker.id());
+        forget(worker.id());
+        changed();
+      }
+    }
+  }
+
   private void pass() {
     passQueued = false;
     if (closed) {
--- a/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
@@ -2,6 +2,7 @@
 
 import static org.lentilsail.store.Callbacks.logged;
 
+import java.util.function.LongConsumer;
 import org.lentilsail.policy.job.MachineBook;
 
 /** Reads the list of machines from time to time. */
@@ -12,11 +13,13 @@
   private final ControlParts parts;
   private final MachineBook machines = new MachineBook();
   private final MachineOrders orders;
+  private final LongConsumer listed;
   private boolean listing;
   private long listedAt = Long.MIN_VALUE / 2;
 
-  MachineDirectory(final ControlParts parts) {
+  MachineDirectory(final ControlParts parts, final LongConsumer listed) {
     this.parts = parts;
+    this.listed = listed;
     this.orders = new MachineOrders(parts);
   }
 
@@ -46,6 +49,7 @@
                     parts.log().log("machine-list-failed", "reason", failure.getMessage());
                   } else {
                     machines.replace(present, now);
+                    listed.accept(now);
                   }
                 }),
             parts.executor());
--- a/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
@@ -9,27 +9,32 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import org.lentilsail.store.Commit;
 import org.lentilsail.store.StoredItem;
 
 /**
  * Keeps in the store, before an order about a machine is sent, that the machine has one. An order
  * may be held back by a network partition and be carried out seconds later, when another daemon
- * holds control; that daemon leaves the machines with such orders alone for some time. Owned by the
+ * holds control; that daemon leaves the machines with such orders alone for some time, and those
+ * that were ordered a short time ago until the lease of the earlier holder is over. Owned by the
  * control thread.
  */
 final class MachineOrders {
   /** Time in ns for which an order without an answer may still be carried out. */
   private static final long LATE_NANOS = 15_000_000_000L;
 
-  /** Time in ns between the answer to the last order and the record of it. */
+  /** Time in ns between records that only remove machines. */
   private static final long CLEAR_NANOS = 1_000_000_000L;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private final ControlParts parts;
   private final Set<String> underWay = new HashSet<>();
   private final Map<String, Long> blockedUntil = new HashMap<>();
   private final List<Order> waiting = new ArrayList<>();
-  private Set<String> kept = Set.of();
+  private final Map<String, Long> answeredAt = new HashMap<>();
+  private MachineOrdersDocument kept = new MachineOrdersDocument(List.of(), List.of());
   private boolean writing;
   private long writtenAt = Long.MIN_VALUE / 2;
 
@@ -44,10 +49,15 @@
   void restore(final Optional<StoredItem> item, final long claimedAt) {
     item.flatMap(found -> Documents.<MachineOrdersDocument>read(Documents.MACHINE_ORDERS, found))
         .ifPresent(
-            document ->
-                document
-                    .machines()
-                    .forEach(machine -> blockedUntil.put(machine, claimedAt + LATE_NANOS)));
+            document -> {
+              final long lease = leaseNanos();
+              document
+                  .answered()
+                  .forEach(machine -> blockedUntil.put(machine, claimedAt + lease));
+              document
+                  .unanswered()
+                  .forEach(machine -> blockedUntil.put(machine, claimedAt + LATE_NANOS));
+            });
   }
 
   /** Marks an order as under way; false when the machine has one already. */
@@ -63,7 +73,9 @@
   /** Ends an order; one without an answer blocks its machine for some time. */
   void end(final String machine, final boolean answered) {
     underWay.remove(machine);
-    if (!answered) {
+    if (answered) {
+      answeredAt.put(machine, parts.time().nanos());
+    } else {
       blockedUntil.put(machine, parts.time().nanos() + LATE_NANOS);
     }
   }
@@ -77,18 +89,30 @@
 
   void tick(final long now, final Term term) {
     blockedUntil.values().removeIf(until -> now >= until);
-    final boolean outdated = !kept.equals(reserved()) && now - writtenAt >= CLEAR_NANOS;
+    answeredAt.values().removeIf(at -> now - at >= leaseNanos());
+    final boolean outdated = now - writtenAt >= CLEAR_NANOS && !kept.equals(document());
     if (!writing && (!waiting.isEmpty() || outdated)) {
       write(now, term);
     }
   }
 
+  private MachineOrdersDocument document() {
+    final Set<String> answered = new TreeSet<>(answeredAt.keySet());
+    answered.removeAll(reserved());
+    return new MachineOrdersDocument(
+        List.copyOf(new TreeSet<>(reserved())), List.copyOf(answered));
+  }
+
+  private long leaseNanos() {
+    return parts.bounds().machineLeaseMillis() * NANOS_PER_MILLI;
+  }
+
   private void write(final long now, final Term term) {
     writing = true;
     writtenAt = now;
     final List<Order> recorded = List.copyOf(waiting);
     waiting.clear();
-    final Set<String> machines = reserved();
+    final MachineOrdersDocument document = document();
     parts
         .store()
         .commit(
@@ -96,7 +120,7 @@
                 .when(StoreKeys.TERM, term.revision())
                 .write(
                     StoreKeys.MACHINE_ORDERS,
-                    Documents.write(new MachineOrdersDocument(List.copyOf(machines))),
+                    Documents.write(document),
                     0))
         .whenCompleteAsync(
             logged(
@@ -104,7 +128,7 @@
                   writing = false;
                   final boolean done = failure == null && result.applied();
                   if (done) {
-                    kept = machines;
+                    kept = document;
                   }
                   recorded.forEach(order -> (done ? order.send() : order.cancel()).run());
                 }),
--- a/library/src/main/java/org/lentilsail/jobs/MachineOrdersDocument.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineOrdersDocument.java
@@ -3,13 +3,15 @@
 import java.util.List;
 
 /**
- * Machines with orders that may still be carried out.
+ * Machines with recent orders.
  *
- * @param machines ids of the machines
+ * @param unanswered ids of the machines with an order that may still be carried out
+ * @param answered ids of the machines whose last order was answered a short time ago
  */
-record MachineOrdersDocument(List<String> machines) {
+record MachineOrdersDocument(List<String> unanswered, List<String> answered) {
 
   MachineOrdersDocument {
-    machines = List.copyOf(machines);
+    unanswered = List.copyOf(unanswered);
+    answered = List.copyOf(answered);
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -312,8 +312,9 @@
   }
 
   private void lost(final String reason) {
-    if (worker.isAnswering()) {
-      worker.answering(false);
+    final boolean wasAnswering = worker.isAnswering();
+    worker.silent(parts.time().nanos());
+    if (wasAnswering) {
       parts.log().log("worker-silent", "worker", worker.id(), "reason", reason);
     }
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/MachineBook.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/MachineBook.java
@@ -1,10 +1,13 @@
 package org.lentilsail.policy.job;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.lentilsail.model.job.Machine;
+import org.lentilsail.model.job.MachineState;
 
 /** The last list of machines; owned by the control thread. */
 public final class MachineBook {
@@ -51,6 +54,21 @@
     return machines.get(id);
   }
 
+  /**
+   * Returns the workers that working machines carry.
+   *
+   * @return ids of the workers
+   */
+  public Set<String> carriedWorkers() {
+    final Set<String> workers = new HashSet<>();
+    for (final Machine machine : machines.values()) {
+      if (machine.state() == MachineState.UP) {
+        workers.add(machine.worker());
+      }
+    }
+    return workers;
+  }
+
   /**
    * Returns all machines.
    *
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -152,7 +152,9 @@
       return false;
     }
     final WorkerState worker = fleet.worker(machine.worker());
-    return machine.state() != MachineState.UP || worker == null || worker.isListed();
+    return machine.state() != MachineState.UP
+        || worker == null
+        || worker.isListed() && (worker.isAnswering() || !worker.isSynced());
   }
 
   private void advanceEmptying(
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolTargets.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolTargets.java
@@ -13,6 +13,9 @@
   /** Room over what runs, for tasks of different sizes that do not fill their workers. */
   private static final double ROOM = 1.2;
 
+  /** Room over what arrives; at the begin of a rise the time over which it is counted is half empty. */
+  private static final double RISE = 1.6;
+
   /** Time in ns in which a target falls to a third when nothing holds it up. */
   private static final double FALL_NANOS = 1_500_000_000.0;
 
@@ -45,7 +48,7 @@
     final long busy =
         Math.max(
             (long) (ROOM * (load.shortRunning().cpuMillis() + load.waitingCpu())),
-            load.arrivingCpu());
+            (long) (RISE * load.arrivingCpu()));
     final long held = (long) (last.getOrDefault(load.service(), 0L) * share);
     final long variable = Math.max(Math.max(busy, BASE_CPU), held);
     last.put(load.service(), variable);
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -15,6 +15,7 @@
   private boolean listed = true;
   private boolean synced;
   private boolean answering;
+  private long silentSince = Long.MAX_VALUE;
   private boolean cordoned;
   private long leaseUntil;
   private long endsSeen;
@@ -117,6 +118,27 @@
     answering = value;
   }
 
+  /**
+   * Records that a call was not answered.
+   *
+   * @param now monotonic time in ns
+   */
+  public void silent(final long now) {
+    if (answering || silentSince == Long.MAX_VALUE) {
+      silentSince = now;
+    }
+    answering = false;
+  }
+
+  /**
+   * Returns since when the worker has not answered.
+   *
+   * @return monotonic time in ns; the largest value before the first call without an answer
+   */
+  public long silentSince() {
+    return silentSince;
+  }
+
   /**
    * Tells whether the worker is being emptied.
    *
