Move machines less often and spread waves over their time

Change: arriving work counts at most twice what runs and waits; targets fall in 2.5 s; a machine stays 2.3 s; the base is 3 workers; a wave takes only as many machines down as it needs to be done at 0.6 of its time.

--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -309,7 +309,7 @@
       return;
     }
     parts.log().log("worker-admitted", "worker", entry.id(), "service", entry.service());
-    final WorkerState worker = new WorkerState(entry);
+    final WorkerState worker = new WorkerState(entry, parts.time().nanos());
     fleet.add(worker);
     final WorkerSession session = new WorkerSession(parts, worker, ledger, term.number(), this);
     sessions.put(entry.id(), session);
--- a/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
@@ -51,9 +51,7 @@
         .ifPresent(
             document -> {
               final long lease = leaseNanos();
-              document
-                  .answered()
-                  .forEach(machine -> blockedUntil.put(machine, claimedAt + lease));
+              document.answered().forEach(machine -> blockedUntil.put(machine, claimedAt + lease));
               document
                   .unanswered()
                   .forEach(machine -> blockedUntil.put(machine, claimedAt + LATE_NANOS));
@@ -99,8 +97,7 @@
   private MachineOrdersDocument document() {
     final Set<String> answered = new TreeSet<>(answeredAt.keySet());
     answered.removeAll(reserved());
-    return new MachineOrdersDocument(
-        List.copyOf(new TreeSet<>(reserved())), List.copyOf(answered));
+    return new MachineOrdersDocument(List.copyOf(new TreeSet<>(reserved())), List.copyOf(answered));
   }
 
   private long leaseNanos() {
@@ -118,10 +115,7 @@
         .commit(
             Commit.empty()
                 .when(StoreKeys.TERM, term.revision())
-                .write(
-                    StoreKeys.MACHINE_ORDERS,
-                    Documents.write(document),
-                    0))
+                .write(StoreKeys.MACHINE_ORDERS, Documents.write(document), 0))
         .whenCompleteAsync(
             logged(
                 (result, failure) -> {
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -24,6 +24,9 @@
   /** Time in ns for which a pool must have had a machine too many before it gives one back. */
   private static final long IDLE_NANOS = 1_500_000_000L;
 
+  /** Time in ns that a machine stays in a pool at least; two moves cost as much as 2.3 s there. */
+  private static final long STAY_NANOS = 2_300_000_000L;
+
   /** Fewest workers of a pool; tasks that last must have somewhere to go when one is emptied. */
   private static final int MIN_WORKERS = 2;
 
@@ -318,6 +321,7 @@
           && isMovable(machine, reserved)
           && worker.runs().stream().allMatch(run -> isLasting(run))
           && emptying.size() < MAX_EMPTYING
+          && now - worker.knownAt() >= STAY_NANOS
           && hasTooMany(pool, machine, now, IDLE_NANOS)) {
         begin(machine, null, pools, now, ready);
       }
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolTargets.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolTargets.java
@@ -13,14 +13,17 @@
   /** Room over what runs, for tasks of different sizes that do not fill their workers. */
   private static final double ROOM = 1.2;
 
-  /** Room over what arrives; at the begin of a rise the time over which it is counted is half empty. */
-  private static final double RISE = 1.6;
+  /** Room over what arrives; at first the time over which it is counted is half empty. */
+  private static final double RISE = 1.5;
+
+  /** Most that arriving work counts over what runs and waits; one large job is no rise. */
+  private static final long RISE_LIMIT = 2;
 
   /** Time in ns in which a target falls to a third when nothing holds it up. */
-  private static final double FALL_NANOS = 1_500_000_000.0;
+  private static final double FALL_NANOS = 2_500_000_000.0;
 
-  /** Processor in thousandths of a core that an idle pool keeps beside its tasks that last. */
-  private static final long BASE_CPU = 192_000;
+  /** Workers that an idle pool keeps beside its tasks that last. */
+  private static final int BASE_WORKERS = 3;
 
   private final Map<String, Long> last = new HashMap<>();
   private long updatedAt = Long.MIN_VALUE / 2;
@@ -45,12 +48,13 @@
    * @return wanted capacity in thousandths of a core
    */
   long wantedCpu(final PoolLoad load, final double share) {
-    final long busy =
-        Math.max(
-            (long) (ROOM * (load.shortRunning().cpuMillis() + load.waitingCpu())),
-            (long) (RISE * load.arrivingCpu()));
+    final long now = load.shortRunning().cpuMillis() + load.waitingCpu();
+    final long rising = Math.min((long) (RISE * load.arrivingCpu()), RISE_LIMIT * now);
+    final long busy = Math.max((long) (ROOM * now), rising);
     final long held = (long) (last.getOrDefault(load.service(), 0L) * share);
-    final long variable = Math.max(Math.max(busy, BASE_CPU), held);
+    final long base =
+        load.workers() == 0 ? 0 : BASE_WORKERS * load.capacity().cpuMillis() / load.workers();
+    final long variable = Math.max(Math.max(busy, base), held);
     last.put(load.service(), variable);
     return load.lasting().cpuMillis() + variable;
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/Wave.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Wave.java
@@ -48,6 +48,17 @@
     return ordered;
   }
 
+  /** Counts the machines that are not back from their maintenance. */
+  int machinesLeft() {
+    int left = down.size();
+    for (final String machine : request.machines()) {
+      if (!ordered.contains(machine) && !down.containsKey(machine)) {
+        left++;
+      }
+    }
+    return left;
+  }
+
   long receivedAt() {
     return receivedAt;
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
@@ -20,6 +20,14 @@
   /** Machines that are emptied while the permitted number is down. */
   private static final int AHEAD = 1;
 
+  /** Share of the time of a wave in which it should be done; failures may hold up the rest. */
+  private static final double FINISH_SHARE = 0.6;
+
+  /** Time in ns from the emptying of a machine until it is back. */
+  private static final long CYCLE_NANOS = 3_500_000_000L;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   /** Time in ns after which a worker that no entry names is taken as one without work. */
   private static final long UNKNOWN_NANOS = 3_000_000_000L;
 
@@ -58,7 +66,7 @@
     if (!machines.isKnown()) {
       return ready;
     }
-    final int free = wave.request().atMost() - wave.down(machines);
+    final int free = concurrency(wave, now) - wave.down(machines);
     int emptying = 0;
     for (final Machine machine : candidates(wave, now, isMoving)) {
       if (emptying >= free + AHEAD) {
@@ -85,6 +93,19 @@
     }
   }
 
+  /**
+   * Returns how many machines should be down at once: no more than it takes to be done well before
+   * the end, so that the pools keep their capacity.
+   */
+  private static int concurrency(final Wave wave, final long now) {
+    final long end =
+        wave.receivedAt()
+            + (long) (wave.request().durationMillis() * NANOS_PER_MILLI * FINISH_SHARE);
+    final double left = Math.max(end - now, CYCLE_NANOS);
+    final int wanted = (int) Math.ceil(wave.machinesLeft() * (double) CYCLE_NANOS / left);
+    return Math.min(wave.request().atMost(), wanted);
+  }
+
   /**
    * Returns the machines that are being emptied.
    *
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -11,6 +11,7 @@
   private final List<TaskRun> runs = new ArrayList<>();
   private final WorkerClock clock = new WorkerClock();
   private final WorkerHealth health = new WorkerHealth();
+  private final long knownAt;
   private WorkerEntry entry;
   private boolean listed = true;
   private boolean synced;
@@ -26,9 +27,20 @@
    * Creates the state of a worker of which nothing is known.
    *
    * @param entry what the worker reports of itself
+   * @param knownAt monotonic time in ns
    */
-  public WorkerState(final WorkerEntry entry) {
+  public WorkerState(final WorkerEntry entry, final long knownAt) {
     this.entry = entry;
+    this.knownAt = knownAt;
+  }
+
+  /**
+   * Returns since when the worker has been known.
+   *
+   * @return monotonic time in ns
+   */
+  public long knownAt() {
+    return knownAt;
   }
 
   /**
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -62,7 +62,8 @@
                 false,
                 capacity,
                 List.of("a", rack),
-                1));
+                1),
+            0);
     worker.answering(true);
     worker.synced();
     worker.clock().read(1_000, 0);
