Keep what a wave has done across a change of the holder

Change: done machines are taken over after the read; machines are skipped after 2 s of lists without them; blocked machines count as down and give way. Tests: JobNodeTest.newHolderDoesNotMaintainMachinesAgain, WavePlannerTest; both failed before.

--- a/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
@@ -85,6 +85,11 @@
     return reserved;
   }
 
+  /** Returns the machines with orders that may still be carried out. */
+  Set<String> blocked() {
+    return Set.copyOf(blockedUntil.keySet());
+  }
+
   void tick(final long now, final Term term) {
     blockedUntil.values().removeIf(until -> now >= until);
     answeredAt.values().removeIf(at -> now - at >= leaseNanos());
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -68,12 +68,18 @@
   /** Takes over which machines earlier holders have maintained. */
   void restore(final List<StoredItem> items) {
     for (final StoredItem item : items) {
+      final long number = Long.parseLong(item.key().substring(StoreKeys.WAVES.length()));
       Documents.<WaveDocument>read(Documents.WAVE, item)
-          .ifPresent(
-              document ->
-                  kept.put(
-                      Long.parseLong(item.key().substring(StoreKeys.WAVES.length())),
-                      document.machines()));
+          .ifPresent(document -> kept.put(number, document.machines()));
+    }
+    waves.values().forEach(this::takeOver);
+  }
+
+  private void takeOver(final Wave wave) {
+    final long earliestBack =
+        parts.time().nanos() + parts.bounds().upkeepMillis() * NANOS_PER_MILLI;
+    for (final String machine : kept.getOrDefault(wave.request().number(), List.of())) {
+      wave.began(machine, "", earliestBack);
     }
   }
 
@@ -82,11 +88,7 @@
       return;
     }
     final Wave wave = new Wave(request, parts.time().nanos());
-    final long earliestBack =
-        parts.time().nanos() + parts.bounds().upkeepMillis() * NANOS_PER_MILLI;
-    for (final String machine : kept.getOrDefault(request.number(), List.of())) {
-      wave.began(machine, "", earliestBack);
-    }
+    takeOver(wave);
     waves.put(request.number(), wave);
     parts.log().log(
         "wave-requested",
@@ -116,7 +118,9 @@
     writeStatus(term);
     for (final Wave wave : waves.values()) {
       if (!wave.isComplete()) {
-        planner.plan(wave, now, isMoving).forEach(upkeep -> order(upkeep, term));
+        planner
+            .plan(wave, now, isMoving, directory.orders().blocked())
+            .forEach(upkeep -> order(upkeep, term));
       }
     }
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/Wave.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Wave.java
@@ -1,6 +1,7 @@
 package org.lentilsail.policy.job;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -129,11 +130,20 @@
    * Counts the machines that are down for the wave.
    *
    * @param machines the last list of machines
-   * @return machines whose maintenance has begun and that have not come back
+   * @param blocked machines with an order that may still be carried out
+   * @return machines whose maintenance has begun, or may have, and that have not come back
    */
-  int down(final MachineBook machines) {
+  int down(final MachineBook machines, final Set<String> blocked) {
     down.entrySet().removeIf(entry -> ordered.contains(entry.getKey()) && isBack(entry, machines));
-    return down.size();
+    final Set<String> all = new HashSet<>(down.keySet());
+    for (final String id : request.machines()) {
+      final Machine machine = machines.machine(id);
+      if (machine != null && machine.state() == MachineState.UPKEEP
+          || blocked.contains(id) && !ordered.contains(id)) {
+        all.add(id);
+      }
+    }
+    return all.size();
   }
 
   boolean mayOrder(final String machine, final long now) {
--- a/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
@@ -31,7 +31,11 @@
   /** Time in ns after which a worker that no entry names is taken as one without work. */
   private static final long UNKNOWN_NANOS = 3_000_000_000L;
 
+  /** Time in ns for which all lists must lack a machine until it has left. */
+  private static final long MISSING_NANOS = 2_000_000_000L;
+
   private final Map<String, Long> unknownSince = new HashMap<>();
+  private final Map<String, Long> missingSince = new HashMap<>();
   private final Fleet fleet;
   private final MachineBook machines;
   private final Evacuation evacuation;
@@ -59,16 +63,22 @@
    * @param wave the wave
    * @param now monotonic time in ns
    * @param isMoving whether a machine is about to move to another pool
+   * @param blocked machines with an order that may still be carried out; they count as down
    * @return machines to be maintained now
    */
-  public List<Upkeep> plan(final Wave wave, final long now, final Predicate<String> isMoving) {
+  public List<Upkeep> plan(
+      final Wave wave,
+      final long now,
+      final Predicate<String> isMoving,
+      final Set<String> blocked) {
     final List<Upkeep> ready = new ArrayList<>();
     if (!machines.isKnown()) {
       return ready;
     }
-    final int free = concurrency(wave, now) - wave.down(machines);
+    final int free = concurrency(wave, now) - wave.down(machines, blocked);
     int emptying = 0;
-    for (final Machine machine : candidates(wave, now, isMoving)) {
+    for (final Machine machine :
+        candidates(wave, now, id -> isMoving.test(id) || blocked.contains(id))) {
       if (emptying >= free + AHEAD) {
         break;
       }
@@ -126,8 +136,11 @@
     final List<Machine> found = new ArrayList<>();
     for (final String id : wave.request().machines()) {
       final Machine machine = machines.machine(id);
+      if (machine != null) {
+        missingSince.remove(id);
+      }
       if (machine == null) {
-        wave.skip(id);
+        skipWhenGone(wave, id, now);
       } else if (wave.mayOrder(id, now)
           && machine.state() == MachineState.UP
           && !isMoving.test(id)) {
@@ -140,6 +153,14 @@
     return found;
   }
 
+  /** A machine that several lists lack has left; a single list may be older than the wave. */
+  private void skipWhenGone(final Wave wave, final String id, final long now) {
+    final long since = missingSince.computeIfAbsent(id, key -> now);
+    if (machines.askedAt() - since >= MISSING_NANOS) {
+      wave.skip(id);
+    }
+  }
+
   private int load(final Machine machine) {
     final WorkerState worker = fleet.worker(machine.worker());
     return worker == null ? 0 : worker.runs().size();
--- a/policy/src/test/java/org/lentilsail/policy/job/WavePlannerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/WavePlannerTest.java
@@ -6,6 +6,7 @@
 import static org.lentilsail.policy.job.JobFixture.SECOND;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -38,6 +39,26 @@
     assertThat(plan(wave, 3 * SECOND), hasSize(1));
   }
 
+  @Test
+  void countsMachineThatEarlierHolderMayHaveOrdered() {
+    final Wave wave = wave(1, 2);
+    assertThat(planner.plan(wave, 0, machine -> false, Set.of("m-w0")), hasSize(0));
+  }
+
+  @Test
+  void waitsForMachineThatOneListLacks() {
+    final Wave wave = wave(1, 1);
+    final Wave other = new Wave(new WaveRequest(2, List.of("m-late"), 20_000, 1), 0);
+    plan(other, 0);
+    fixture.list(SECOND);
+    plan(other, SECOND);
+    assertThat(other.isComplete(), is(false));
+    fixture.list(3 * SECOND);
+    plan(other, 3 * SECOND);
+    assertThat(other.isComplete(), is(true));
+    assertThat(wave.isComplete(), is(false));
+  }
+
   @Test
   void keepsTheBudgetOfTasksThatLast() {
     final Wave wave = wave(3, 3);
@@ -68,6 +89,6 @@
   }
 
   private List<WavePlanner.Upkeep> plan(final Wave wave, final long now) {
-    return planner.plan(wave, now, machine -> false);
+    return planner.plan(wave, now, machine -> false, Set.of());
   }
 }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -1,6 +1,7 @@
 package org.lentilsail.standin.jobs;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
@@ -9,7 +10,9 @@
 import static org.lentilsail.standin.jobs.SimulatedDeployment.lasting;
 import static org.lentilsail.standin.jobs.SimulatedDeployment.step;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -213,6 +216,20 @@
     assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
   }
 
+  @Test
+  void newHolderDoesNotMaintainMachinesAgain() {
+    for (int i = 0; i < 4; i++) {
+      deployment.startMachine("m" + i);
+    }
+    deployment.store.put("op/wave/1", "m0,m1,m2,m3".getBytes(StandardCharsets.UTF_8));
+    deployment.advance(Duration.ofMillis(4_500));
+    first.resign();
+    deployment.advance(Duration.ofSeconds(30));
+    final List<String> maintained =
+        deployment.machines.orders().stream().map(SimulatedMachines.Given::machine).toList();
+    assertThat(maintained, containsInAnyOrder("m0", "m1", "m2", "m3"));
+  }
+
   @Test
   void countsJobsThatWaitForWorkers() {
     deployment.submit(first, JOB, gang(17));
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -23,6 +23,8 @@
 import org.lentilsail.model.job.JobConfiguration;
 import org.lentilsail.model.job.JobSpec;
 import org.lentilsail.model.job.JobState;
+import org.lentilsail.model.job.Machine;
+import org.lentilsail.model.job.MachineState;
 import org.lentilsail.model.job.QueueSpec;
 import org.lentilsail.model.job.Resources;
 import org.lentilsail.model.job.ServiceSpec;
@@ -99,6 +101,13 @@
     store.put("servers/" + id, id.getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Adds a machine without a worker. */
+  void startMachine(final String id) {
+    machines.put(
+        new Machine(
+            id, "spare", MachineState.UP, "north", List.of(), new Resources(8_000, 8_000, 0), ""));
+  }
+
   /** Cuts a daemon off from everything, as a lost VM is. */
   void isolate(final String daemon) {
     store.fault(daemon, StoreFault.SILENT);
@@ -230,7 +239,14 @@
 
     @Override
     public Optional<WaveRequest> wave(final StoredItem item) {
-      return Optional.empty();
+      return item.key().startsWith("op/wave/")
+          ? Optional.of(
+              new WaveRequest(
+                  1,
+                  List.of(new String(item.value(), StandardCharsets.UTF_8).split(",")),
+                  9_000,
+                  1))
+          : Optional.empty();
     }
 
     @Override
