--- a/library/src/main/java/org/lentilsail/jobs/ControlParts.java
+++ b/library/src/main/java/org/lentilsail/jobs/ControlParts.java
@@ -17,6 +17,7 @@
  * @param executor control thread
  * @param time clock
  * @param log decisions
+ * @param metrics counters and histograms
  * @param bounds bounds of the deployment
  */
 public record ControlParts(
@@ -27,4 +28,5 @@
     ScheduledExecutorService executor,
     TimeSource time,
     DecisionLog log,
+    JobMetrics metrics,
     ControlBounds bounds) {}
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
@@ -0,0 +1,88 @@
+package org.lentilsail.jobs;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Counters and latency histograms of the job side of a daemon. Thread-safe. */
+public final class JobMetrics {
+  /** Upper bounds in seconds: store calls take 4 ms, tasks take about a second. */
+  private static final double[] BUCKETS = {
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20
+  };
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final Counter requests;
+  private final Histogram requestLatency;
+  private final Counter starts;
+  private final Histogram startWait;
+  private final Counter endedJobs;
+  private final Histogram jobAge;
+  private final Counter machineOrders;
+
+  /**
+   * Creates the metrics.
+   *
+   * @param registry where they are published
+   */
+  public JobMetrics(final PrometheusRegistry registry) {
+    requests = counter(registry, "requests", "Requests of callers", "method", "status");
+    requestLatency =
+        histogram(registry, "request_seconds", "Time from a complete request to its answer");
+    starts = counter(registry, "task_starts", "Starts of tasks by answer of the worker", "answer");
+    startWait = histogram(registry, "task_wait_seconds", "Time that a task waited for a worker");
+    endedJobs = counter(registry, "jobs_ended", "Jobs that reached a final state", "state");
+    jobAge = histogram(registry, "job_seconds", "Time from the acceptance of a job to its end");
+    machineOrders =
+        counter(registry, "machine_orders", "Orders about machines by answer", "kind", "answer");
+  }
+
+  /**
+   * Records a request of a caller.
+   *
+   * @param method request method
+   * @param status status code of the answer
+   * @param nanos time from the complete request to the answer in ns
+   */
+  public void request(final String method, final int status, final long nanos) {
+    requests.labelValues(method, Integer.toString(status)).inc();
+    requestLatency.observe(nanos / NANOS_PER_SECOND);
+  }
+
+  void start(final String answer, final long waitedNanos) {
+    starts.labelValues(answer).inc();
+    startWait.observe(waitedNanos / NANOS_PER_SECOND);
+  }
+
+  void ended(final String state, final long ageNanos) {
+    endedJobs.labelValues(state).inc();
+    jobAge.observe(ageNanos / NANOS_PER_SECOND);
+  }
+
+  void machineOrder(final String kind, final String answer) {
+    machineOrders.labelValues(kind, answer).inc();
+  }
+
+  private static Counter counter(
+      final PrometheusRegistry registry,
+      final String name,
+      final String help,
+      final String... labels) {
+    return Counter.builder()
+        .name("lentilsail_" + name + "_total")
+        .help(help)
+        .labelNames(labels)
+        .register(registry);
+  }
+
+  private static Histogram histogram(
+      final PrometheusRegistry registry, final String name, final String help) {
+    return Histogram.builder()
+        .name("lentilsail_" + name)
+        .help(help)
+        .classicOnly()
+        .classicUpperBounds(BUCKETS)
+        .register(registry);
+  }
+}
--- a/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
@@ -128,6 +128,7 @@
 
   private void ordered(final PoolPlanner.Move move, final MachineAnswer answer) {
     final long now = parts.time().nanos();
+    parts.metrics().machineOrder("move", answer.name());
     parts.log().log(
         "machine-move",
         "machine",
--- a/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
@@ -121,6 +121,7 @@
       if (progress.state().isFinal()) {
         final JobRun job = batch.jobs().get(i);
         final long now = parts.time().nanos();
+        parts.metrics().ended(progress.state().name(), now - job.arrivedAt());
         parts.log().log(
             "job-ended",
             "job",
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -168,6 +168,7 @@
     final Wave wave = upkeep.wave();
     final String machine = upkeep.machine().id();
     final String worker = upkeep.machine().worker();
+    parts.metrics().machineOrder("maintain", answer.name());
     parts.log().log(
         "machine-maintain",
         "machine",
--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -53,8 +53,13 @@
   /** Tells whether a worker meets everything that the step asks for. */
   static boolean fits(final StepRun step, final WorkerState worker) {
     final StepSpec spec = step.spec();
-    return spec.reserved().fitsIn(worker.free())
-        && (spec.requiredLabel().isEmpty() || worker.hasLabel(spec.requiredLabel()))
+    return spec.reserved().fitsIn(worker.free()) && suits(step, worker);
+  }
+
+  /** Tells whether a worker meets what the step asks for beside free resources. */
+  static boolean suits(final StepRun step, final WorkerState worker) {
+    final StepSpec spec = step.spec();
+    return (spec.requiredLabel().isEmpty() || worker.hasLabel(spec.requiredLabel()))
         && (spec.maxPerWorker() <= 0 || step.runsOn(worker) < spec.maxPerWorker());
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
@@ -260,6 +260,9 @@
     final TaskRun run = find(task, worker, end.run());
     if (run != null) {
       drop(run, now);
+      if (end.how() == RunEnd.DONE) {
+        task.step().measured(now - run.createdAt());
+      }
     }
     task.noteRun(end.run());
     task.step().job().running();
--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -47,9 +47,32 @@
         placeTasks(step, candidates, now, starts);
       }
     }
+    placeCopies(workers, now, starts);
     return starts;
   }
 
+  /** Starts second copies of slow tasks in the room that is left. */
+  private void placeCopies(
+      final Map<String, List<WorkerState>> workers,
+      final long now,
+      final List<Order.Start> starts) {
+    for (final JobRun job : jobs.active()) {
+      for (final StepRun step : job.steps()) {
+        for (final Task task : Speculation.find(step, now)) {
+          final WorkerState first = task.runs().get(0).worker();
+          final List<WorkerState> others =
+              workers.computeIfAbsent(jobs.serviceOf(job), fleet::ofService).stream()
+                  .filter(worker -> worker != first)
+                  .toList();
+          final WorkerState worker = Placement.choose(task, others, now);
+          if (worker != null) {
+            starts.add(new Order.Start(ledger.start(task, worker, 0, now)));
+          }
+        }
+      }
+    }
+  }
+
   /**
    * Returns the steps that wait for workers.
    *
@@ -93,7 +116,11 @@
       final WorkerState worker = Placement.choose(task, candidates, now);
       if (worker != null) {
         starts.add(new Order.Start(ledger.start(task, worker, 0, now)));
-      } else if (task.failures() == 0) {
+        continue;
+      }
+      Preemption.choose(task, candidates, now)
+          .forEach(run -> ledger.stop(run, "a task that lasts needs its room"));
+      if (task.failures() == 0) {
         return;
       }
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
@@ -13,6 +13,8 @@
   private final StepSpec spec;
   private final List<Task> tasks;
   private int done;
+  private int measured;
+  private long measuredNanos;
 
   StepRun(
       final JobRun job,
@@ -109,6 +111,21 @@
     return count;
   }
 
+  /**
+   * Returns how long a task of the step has taken.
+   *
+   * @return mean duration in ns of the tasks that are done, 0 before half of them are
+   */
+  public long usualNanos() {
+    return measured * 2 < spec.count() ? 0 : measuredNanos / measured;
+  }
+
+  /** Takes in how long a task took from its start to its end. */
+  void measured(final long nanos) {
+    measured++;
+    measuredNanos += nanos;
+  }
+
   void taskDone() {
     done++;
   }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -1,5 +1,6 @@
 package org.lentilsail.standin.jobs;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -17,6 +18,7 @@
 import org.lentilsail.jobs.ControlBounds;
 import org.lentilsail.jobs.ControlParts;
 import org.lentilsail.jobs.FleetDocuments;
+import org.lentilsail.jobs.JobMetrics;
 import org.lentilsail.jobs.JobNode;
 import org.lentilsail.jobs.SubmitOutcome;
 import org.lentilsail.log.DecisionLog;
@@ -77,6 +79,7 @@
                 world,
                 time,
                 log,
+                new JobMetrics(new PrometheusRegistry()),
                 new ControlBounds(MAX_LEASE_MILLIS, 2_000, 1_500, 120_000, 3_000)),
             daemon);
     nodes.put(daemon, node);
