--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -417,9 +417,7 @@
   }
 
   private void logStart(final TaskRun run, final OrderReply reply) {
-    parts
-        .metrics()
-        .start(reply.answer().name(), run.createdAt() - run.task().waitingSince());
+    parts.metrics().start(reply.answer().name(), run.createdAt() - run.task().waitingSince());
     parts.log().log(
         "task-start",
         "task",
--- a/library/src/main/java/org/lentilsail/log/DecisionLog.java
+++ b/library/src/main/java/org/lentilsail/log/DecisionLog.java
@@ -18,6 +18,9 @@
   /** Lines a second; at 200 bytes a line this bounds the volume to 80 KB/s. */
   private static final int LINES_PER_SECOND = 400;
 
+  /** Longest wait in ms for the line that is being written when the log is closed. */
+  private static final long CLOSE_MILLIS = 200;
+
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
   private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
@@ -81,6 +84,11 @@
   @Override
   public void close() {
     writer.interrupt();
+    try {
+      writer.join(CLOSE_MILLIS);
+    } catch (final InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
     String line = queue.poll();
     while (line != null) {
       out.println(line);
--- a/policy/src/main/java/org/lentilsail/policy/job/Preemption.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Preemption.java
@@ -6,8 +6,8 @@
 import org.lentilsail.model.job.Resources;
 
 /**
- * Makes room for tasks that last and have waited too long: stops the runs of jobs of lower rank on the
- * worker where that throws the least work away.
+ * Makes room for tasks that last and have waited too long: stops the runs of jobs of lower rank on
+ * the worker where that throws the least work away.
  */
 public final class Preemption {
   /** Time in ns for which a task that lasts waits for runs to end; it must be back within 3 s. */
@@ -49,8 +49,7 @@
     return worker.runs().stream().anyMatch(run -> run.phase() == RunPhase.STOPPING);
   }
 
-  private static List<TaskRun> victims(
-      final Task task, final WorkerState worker, final long now) {
+  private static List<TaskRun> victims(final Task task, final WorkerState worker, final long now) {
     if (!worker.isUsable(now) || !Placement.suits(task.step(), worker)) {
       return List.of();
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/Speculation.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Speculation.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * Finds tasks of which a second copy should run: their step allows it, and they have been running much
- * longer than the other tasks of the step took. A copy ends the wait for a slow worker.
+ * Finds tasks of which a second copy should run: their step allows it, and they have been running
+ * much longer than the other tasks of the step took. A copy ends the wait for a slow worker.
  */
 public final class Speculation {
   /** Times that the tasks of the step took, after which a copy starts. */
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -178,6 +178,57 @@
         mayMiss);
   }
 
+  /** A step whose tasks may have copies. */
+  static StepSpec speculative(final int count) {
+    return new StepSpec(
+        count,
+        new Resources(1_000, 1_000, 0),
+        1_000,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        true,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  /** A task that serves with a target for its tail response time in ms. */
+  static StepSpec serving(final long targetMillis) {
+    return image("serving", targetMillis, false);
+  }
+
+  /** A task that uses the processor that others leave. */
+  static StepSpec filling() {
+    return image("filling", 0, true);
+  }
+
+  private static StepSpec image(final String image, final long targetMillis, final boolean fills) {
+    return new StepSpec(
+        1,
+        new Resources(6_000, 1_000, 0),
+        0,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        true,
+        image,
+        targetMillis,
+        fills,
+        1);
+  }
+
   private static QueueSpec queue(final String name, final String service, final int priority) {
     return new QueueSpec(name, "host", "/" + name + "/", service, priority, 2, 1.6, 600, false);
   }
--- /dev/null
+++ b/policy/src/test/java/org/lentilsail/policy/job/PoolPlannerTest.java
@@ -0,0 +1,109 @@
+package org.lentilsail.policy.job;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.lentilsail.policy.job.JobFixture.BOOKING;
+import static org.lentilsail.policy.job.JobFixture.SECOND;
+import static org.lentilsail.policy.job.JobFixture.SPARE;
+import static org.lentilsail.policy.job.JobFixture.STARTER;
+import static org.lentilsail.policy.job.JobFixture.step;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Plays queues that take turns: one asks for several times what its pool holds while the other is
+ * idle. Guards against a turn that waits beside idle machines, and against machines that move to
+ * and fro.
+ */
+class PoolPlannerTest {
+  private static final int WORKERS = 8;
+
+  private final JobFixture fixture = new JobFixture();
+  private final PoolPlanner planner =
+      new PoolPlanner(fixture.jobs, fixture.fleet, fixture.machines, fixture.evacuation);
+  private final PoolLoads loads = new PoolLoads(fixture.jobs, fixture.fleet);
+
+  @BeforeEach
+  void pools() {
+    for (int i = 0; i < WORKERS; i++) {
+      fixture.worker("b" + i, BOOKING);
+      fixture.worker("s" + i, STARTER);
+    }
+    for (int i = 0; i < 2; i++) {
+      fixture.machine("m-spare" + i, SPARE, "");
+    }
+    fixture.list(0);
+  }
+
+  @Test
+  void turnTakesIdleMachinesOfTheOtherPool() {
+    plan(0);
+    turn(SECOND);
+    final List<PoolPlanner.Move> moves = plan(SECOND);
+    assertThat(moves.size(), greaterThan(2));
+    assertThat(moves.stream().map(PoolPlanner.Move::pool).toList(), everyItem(is(BOOKING)));
+  }
+
+  @Test
+  void otherPoolKeepsItsBase() {
+    plan(0);
+    turn(SECOND);
+    final long taken =
+        plan(SECOND).stream().filter(move -> move.machine().pool().equals(STARTER)).count();
+    assertThat((int) taken, lessThanOrEqualTo(WORKERS - 3));
+  }
+
+  @Test
+  void leavesMachinesThatAreBeingMaintained() {
+    plan(0);
+    turn(SECOND);
+    final Set<String> all =
+        Set.copyOf(fixture.machines.all().stream().map(machine -> machine.id()).toList());
+    assertThat(planner.plan(loads.measure(SECOND), all, SECOND), is(empty()));
+  }
+
+  @Test
+  void machinesAreGivenBackOnlyAfterTheyStayed() {
+    assertThat(plan(SECOND), is(empty()));
+    assertThat(plan(4 * SECOND).size(), greaterThan(0));
+  }
+
+  @Test
+  void oneLargeJobIsNoTurn() {
+    plan(0);
+    fixture.submit("holds", SECOND, step(8, 8_000, 9_000));
+    fixture.place(SECOND);
+    assertThat(plan(SECOND), hasSize(0));
+  }
+
+  @Test
+  void poolWhoseWorkersAreCutOffGetsMachines() {
+    plan(0);
+    fixture.submit("holds", SECOND, step(20, 16_000, 1_000));
+    fixture.place(SECOND);
+    for (int i = 0; i < WORKERS - 2; i++) {
+      fixture.fleet.worker("b" + i).silent(SECOND);
+    }
+    assertThat(plan(SECOND).size(), greaterThan(2));
+  }
+
+  private void turn(final long now) {
+    for (int i = 0; i < 12; i++) {
+      fixture.submit("holds", now, step(6, 12_000, 600));
+    }
+    fixture.place(now);
+  }
+
+  private List<PoolPlanner.Move> plan(final long now) {
+    fixture.list(now);
+    return planner.plan(loads.measure(now), Set.of(), now);
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/org/lentilsail/policy/job/SchedulerTest.java
@@ -0,0 +1,176 @@
+package org.lentilsail.policy.job;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.lentilsail.policy.job.JobFixture.BOOKING;
+import static org.lentilsail.policy.job.JobFixture.MILLI;
+import static org.lentilsail.policy.job.JobFixture.SECOND;
+import static org.lentilsail.policy.job.JobFixture.STARTER;
+import static org.lentilsail.policy.job.JobFixture.lasting;
+import static org.lentilsail.policy.job.JobFixture.step;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lentilsail.model.job.JobState;
+
+/** Guards against starts in the wrong order or place, and attempts wasted on bad workers. */
+class SchedulerTest {
+  private final JobFixture fixture = new JobFixture();
+
+  @Test
+  void startsNoStepBeforeTheOnesItWaitsFor() {
+    fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, step(2, 1_000, 500), step(1, 1_000, 500, 0));
+    final List<Order.Start> starts = fixture.place(0);
+    assertThat(starts, hasSize(2));
+    fixture.end(starts.get(0).run(), RunEnd.DONE, SECOND);
+    assertThat(fixture.place(SECOND), is(empty()));
+    fixture.end(starts.get(1).run(), RunEnd.DONE, SECOND);
+    assertThat(fixture.place(SECOND), hasSize(1));
+  }
+
+  @Test
+  void usesOnlyWorkersOfTheService() {
+    fixture.worker("w1", STARTER);
+    fixture.submit("holds", 0, step(1, 1_000, 500));
+    assertThat(fixture.place(0), is(empty()));
+  }
+
+  @Test
+  void leavesRoomForWhatIsBeingStopped() {
+    fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, step(1, 40_000, 500));
+    final TaskRun run = fixture.place(0).get(0).run();
+    fixture.ledger.stop(run, "test");
+    fixture.submit("holds", 0, step(1, 40_000, 500));
+    assertThat(fixture.place(SECOND), is(empty()));
+  }
+
+  @Test
+  void peakServesSmallJobsFirstAndLateJobsLast() {
+    fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, step(1, JobFixture.CORES, 100));
+    final TaskRun blocker = fixture.place(0).get(0).run();
+    final JobRun late = fixture.submit("holds", 0, step(1, 1_000, 10));
+    final JobRun large = fixture.submit("holds", 5 * SECOND, step(4, 16_000, 1_000));
+    final JobRun small = fixture.submit("holds", 5 * SECOND, step(1, 16_000, 1_000));
+    final List<JobRun> order =
+        fixture.scheduler.waiting(5 * SECOND).stream().map(rank -> rank.step().job()).toList();
+    assertThat(order, is(List.of(small, large, late)));
+    assertThat(blocker.phase(), is(RunPhase.RUNNING));
+  }
+
+  @Test
+  void tasksThatLastComeFirst() {
+    fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, step(1, 1_000, 100));
+    final JobRun lasting = fixture.submit("holds", 0, lasting(1, 0, 1));
+    assertThat(fixture.scheduler.waiting(0).get(0).step().job(), is(lasting));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3})
+  void keepsTheLimitOfTasksOnOneWorker(final int limit) {
+    fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, lasting(5, limit, 1));
+    assertThat(fixture.place(0), hasSize(limit));
+  }
+
+  @Test
+  void secondAttemptGoesToAnotherWorker() {
+    fixture.worker("w1", BOOKING);
+    fixture.worker("w2", BOOKING);
+    fixture.submit("holds", 0, step(1, 1_000, 500));
+    final TaskRun first = fixture.place(0).get(0).run();
+    fixture.end(first, RunEnd.FAILED, MILLI);
+    final TaskRun second = fixture.place(MILLI).get(0).run();
+    assertThat(second.worker(), is(not(first.worker())));
+  }
+
+  @Test
+  void jobFailsAfterItsAttempts() {
+    fixture.worker("w1", BOOKING);
+    fixture.worker("w2", BOOKING);
+    final JobRun job = fixture.submit("holds", 0, step(1, 1_000, 500));
+    fixture.end(fixture.place(0).get(0).run(), RunEnd.FAILED, MILLI);
+    fixture.end(fixture.place(MILLI).get(0).run(), RunEnd.FAILED, 2 * MILLI);
+    assertThat(job.state(), is(JobState.FAILED));
+    assertThat(fixture.place(3 * MILLI), is(empty()));
+  }
+
+  @Test
+  void workerThatFailsRunsOfSeveralJobsGetsNoWork() {
+    fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, step(1, 1_000, 500));
+    fixture.submit("holds", 0, step(1, 1_000, 500));
+    fixture.place(0).forEach(start -> fixture.end(start.run(), RunEnd.FAILED, MILLI));
+    fixture.submit("holds", 0, step(1, 1_000, 500));
+    assertThat(fixture.place(2 * MILLI), is(empty()));
+    assertThat(fixture.place(4 * SECOND), hasSize(1));
+  }
+
+  @Test
+  void workerOnProbationWithTaskThatLastsStillGetsWork() {
+    fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, lasting(1, 0, 1));
+    fixture.place(0);
+    fixture.fleet.worker("w1").health().rest(0);
+    fixture.submit("holds", 0, step(2, 1_000, 500));
+    assertThat(fixture.place(4 * SECOND), hasSize(1));
+  }
+
+  @Test
+  void holdsBackWorkThatMayRunOnWorkerThatWasNotAsked() {
+    fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, step(1, 1_000, 500));
+    fixture.gate.close(Map.of("lost", BOOKING), SECOND, 6 * SECOND);
+    assertThat(fixture.place(2 * SECOND), is(empty()));
+    fixture.submit("holds", 2 * SECOND, step(1, 1_000, 500));
+    assertThat(fixture.place(2 * SECOND), hasSize(1));
+    fixture.gate.expire(7 * SECOND);
+    assertThat(fixture.place(7 * SECOND), hasSize(1));
+  }
+
+  @Test
+  void secondCopyOfSlowTaskStartsWhereTheStepAllowsIt() {
+    fixture.worker("w1", BOOKING);
+    fixture.worker("w2", BOOKING);
+    fixture.submit("holds", 0, JobFixture.speculative(3));
+    final List<Order.Start> starts = fixture.place(0);
+    fixture.end(starts.get(0).run(), RunEnd.DONE, SECOND);
+    fixture.end(starts.get(1).run(), RunEnd.DONE, SECOND);
+    assertThat(fixture.place(SECOND * 3 / 2), is(empty()));
+    assertThat(fixture.place(3 * SECOND), hasSize(1));
+    assertThat(fixture.place(3 * SECOND), is(empty()));
+  }
+
+  @Test
+  void fullPoolMakesRoomForTaskThatLasts() {
+    fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, step(4, 16_000, 9_000));
+    fixture.place(0);
+    fixture.submit("holds", 0, lasting(1, 0, 1));
+    fixture.place(SECOND / 2);
+    assertThat(fixture.ledger.takeOrders(), is(empty()));
+    fixture.place(2 * SECOND);
+    assertThat(fixture.ledger.takeOrders(), hasSize(1));
+  }
+
+  @Test
+  void runThatStandsStillIsFoundAndItsWorkerRests() {
+    final WorkerState worker = fixture.worker("w1", BOOKING);
+    fixture.submit("holds", 0, step(1, 1_000, 9_000));
+    final TaskRun run = fixture.place(0).get(0).run();
+    run.measured(0, 100, SECOND / 2);
+    assertThat(StuckRuns.find(worker, SECOND), is(empty()));
+    run.measured(0, 100, 2 * SECOND);
+    assertThat(StuckRuns.find(worker, 2 * SECOND), is(List.of(run)));
+    assertThat(worker.isUsable(2 * SECOND), is(false));
+  }
+}
