Write the holder's items only as it last knew them

Change: HolderItems adds the last known revision of each item to the conditions of a commit; progress, roster, machine orders and waves use it. Test: JobNodeTest.progressThatIsWrittenLateDoesNotHideLaterProgress, which failed before.

--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -254,7 +254,12 @@
             executor);
   }
 
-  /** The items of a claim as they were read back. */
+  /**
+   * The items of a claim as they were read back.
+   *
+   * @param holder the item of the holder
+   * @param term the item of the term
+   */
   private record Claimed(Optional<StoredItem> holder, Optional<StoredItem> term) {
     boolean isMine(final String mark) {
       return term.isPresent()
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/HolderWorkers.java
@@ -0,0 +1,189 @@
+package org.lentilsail.jobs;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lentilsail.model.job.WorkerEntry;
+import org.lentilsail.policy.job.Fleet;
+import org.lentilsail.policy.job.Order;
+import org.lentilsail.policy.job.RecoveryGate;
+import org.lentilsail.policy.job.RunLedger;
+import org.lentilsail.policy.job.WorkerState;
+
+/**
+ * The workers of the holder: takes them in from the registry, admits them after the roster is kept,
+ * talks to each by a session, and forgets them when they have ended. Owned by the control thread.
+ */
+final class HolderWorkers implements WorkerRegistry.Listener {
+  /** Slowest rate of a worker's clock, with some time for the way of an order. */
+  private static final double LEASE_MARGIN = 1.03;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final ControlParts parts;
+  private final Fleet fleet;
+  private final RunLedger ledger;
+  private final RecoveryGate gate;
+  private final HolderItems items;
+  private final SessionEvents events;
+  private final WorkerRegistry registry;
+  private final Roster roster;
+  private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
+  private final Map<String, WorkerEntry> reported = new HashMap<>();
+  private boolean opened;
+  private boolean closed;
+
+  HolderWorkers(
+      final ControlParts parts,
+      final Fleet fleet,
+      final RunLedger ledger,
+      final RecoveryGate gate,
+      final HolderItems items,
+      final SessionEvents events,
+      final Runnable loaded,
+      final Runnable superseded) {
+    this.parts = parts;
+    this.fleet = fleet;
+    this.ledger = ledger;
+    this.gate = gate;
+    this.items = items;
+    this.events = events;
+    registry = new WorkerRegistry(parts, this, loaded);
+    roster = new Roster(parts, items, this::admitted, superseded);
+  }
+
+  WorkerRegistry registry() {
+    return registry;
+  }
+
+  /** Returns the number of workers that were reported or kept. */
+  int known() {
+    return reported.size();
+  }
+
+  /** Takes over the workers that earlier holders may have given work. */
+  void restore(final List<WorkerEntry> members, final long claimedAt) {
+    roster.restore(members);
+    final Map<String, String> services = new HashMap<>();
+    for (final WorkerEntry entry : members) {
+      services.put(entry.id(), entry.service());
+      reported.putIfAbsent(entry.id(), entry);
+    }
+    final long lease = (long) (parts.bounds().maxLeaseMillis() * LEASE_MARGIN * NANOS_PER_MILLI);
+    gate.close(services, claimedAt, lease);
+    registry.expect(services.keySet());
+  }
+
+  /** Admits all workers that are known. */
+  void open() {
+    opened = true;
+    List.copyOf(reported.values()).forEach(roster::admit);
+  }
+
+  /** Goes on in a later term. */
+  void resume() {
+    sessions.values().forEach(WorkerSession::look);
+  }
+
+  void close() {
+    closed = true;
+    roster.close();
+    sessions.values().forEach(WorkerSession::close);
+  }
+
+  void tick(final long now) {
+    gate.expire(now);
+    registry.tick(now);
+    List.copyOf(sessions.values()).forEach(session -> session.tick(now));
+    List.copyOf(fleet.workers()).forEach(this::forgetWhenEmpty);
+  }
+
+  void send(final Order order) {
+    final WorkerSession session = sessions.get(order.run().worker().id());
+    if (session != null) {
+      session.send(order);
+    }
+  }
+
+  @Override
+  public void reported(final WorkerEntry entry) {
+    reported.put(entry.id(), entry);
+    if (!opened) {
+      return;
+    }
+    final WorkerState known = fleet.worker(entry.id());
+    if (known == null) {
+      roster.admit(entry);
+      return;
+    }
+    final boolean reborn = entry.bornMillis() > known.entry().bornMillis();
+    final boolean usableBefore = known.isListed() && !known.entry().draining();
+    known.entry(entry);
+    if (reborn) {
+      parts.log().log("worker-reborn", "worker", entry.id(), "born", entry.bornMillis());
+      sessions.get(entry.id()).reborn();
+    }
+    if (entry.draining() && usableBefore) {
+      parts.log().log("worker-draining", "worker", entry.id());
+    }
+    events.changed();
+  }
+
+  @Override
+  public void removed(final String id) {
+    reported.remove(id);
+    final WorkerState worker = fleet.worker(id);
+    if (worker != null) {
+      worker.unlisted();
+      forgetWhenEmpty(worker);
+    }
+  }
+
+  /** A worker that no working machine carries has ended, also when it cannot be asked. */
+  void machinesListed(final Set<String> carried, final long askedAt) {
+    for (final WorkerState worker : List.copyOf(fleet.workers())) {
+      if (!worker.isAnswering()
+          && worker.silentSince() < askedAt
+          && (!worker.runs().isEmpty() || gate.isPending(worker.id()))
+          && !carried.contains(worker.id())) {
+        parts.log().log("worker-ended", "worker", worker.id(), "runs", worker.runs().size());
+        worker.unlisted();
+        ledger.lost(worker, parts.time().nanos());
+        forget(worker.id());
+        events.changed();
+      }
+    }
+  }
+
+  private void admitted(final WorkerEntry entry) {
+    if (closed || fleet.worker(entry.id()) != null) {
+      return;
+    }
+    parts.log().log("worker-admitted", "worker", entry.id(), "service", entry.service());
+    final WorkerState worker = new WorkerState(entry, parts.time().nanos());
+    fleet.add(worker);
+    final WorkerSession session = new WorkerSession(parts, worker, ledger, items, events);
+    sessions.put(entry.id(), session);
+    session.look();
+  }
+
+  /** A worker that an earlier holder used is kept until its runs are known or have expired. */
+  private void forgetWhenEmpty(final WorkerState worker) {
+    if (!worker.isListed() && worker.runs().isEmpty() && !gate.isPending(worker.id())) {
+      forget(worker.id());
+    }
+  }
+
+  /** Forgets a worker that has surely ended. */
+  void forget(final String id) {
+    final WorkerSession session = sessions.remove(id);
+    if (session != null) {
+      session.close();
+    }
+    fleet.remove(id);
+    roster.remove(id);
+    gate.resolved(id);
+  }
+}
--- a/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
@@ -2,7 +2,8 @@
 
 import static org.lentilsail.store.Callbacks.logged;
 
-import java.util.function.LongConsumer;
+import java.util.Set;
+import java.util.function.ObjLongConsumer;
 import org.lentilsail.policy.job.MachineBook;
 
 /** Reads the list of machines from time to time. */
@@ -13,14 +14,17 @@
   private final ControlParts parts;
   private final MachineBook machines = new MachineBook();
   private final MachineOrders orders;
-  private final LongConsumer listed;
+  private final ObjLongConsumer<Set<String>> listed;
   private boolean listing;
   private long listedAt = Long.MIN_VALUE / 2;
 
-  MachineDirectory(final ControlParts parts, final LongConsumer listed) {
+  MachineDirectory(
+      final ControlParts parts,
+      final HolderItems items,
+      final ObjLongConsumer<Set<String>> listed) {
     this.parts = parts;
     this.listed = listed;
-    this.orders = new MachineOrders(parts);
+    this.orders = new MachineOrders(parts, items);
   }
 
   MachineBook machines() {
@@ -49,7 +53,7 @@
                     parts.log().log("machine-list-failed", "reason", failure.getMessage());
                   } else {
                     machines.replace(present, now);
-                    listed.accept(now);
+                    listed.accept(machines.carriedWorkers(), now);
                   }
                 }),
             parts.executor());
--- a/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import org.lentilsail.store.Commit;
 import org.lentilsail.store.StoredItem;
 
 /**
@@ -30,6 +29,7 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final ControlParts parts;
+  private final HolderItems items;
   private final Set<String> underWay = new HashSet<>();
   private final Map<String, Long> blockedUntil = new HashMap<>();
   private final List<Order> waiting = new ArrayList<>();
@@ -38,11 +38,18 @@
   private boolean writing;
   private long writtenAt = Long.MIN_VALUE / 2;
 
-  /** An order that waits to be recorded. */
+  /**
+   * An order that waits to be recorded.
+   *
+   * @param machine id of the machine
+   * @param send sends the order
+   * @param cancel takes the order back
+   */
   private record Order(String machine, Runnable send, Runnable cancel) {}
 
-  MachineOrders(final ControlParts parts) {
+  MachineOrders(final ControlParts parts, final HolderItems items) {
     this.parts = parts;
+    this.items = items;
   }
 
   /** Takes over the orders of an earlier holder. */
@@ -90,12 +97,12 @@
     return Set.copyOf(blockedUntil.keySet());
   }
 
-  void tick(final long now, final Term term) {
+  void tick(final long now) {
     blockedUntil.values().removeIf(until -> now >= until);
     answeredAt.values().removeIf(at -> now - at >= leaseNanos());
     final boolean outdated = now - writtenAt >= CLEAR_NANOS && !kept.equals(document());
     if (!writing && (!waiting.isEmpty() || outdated)) {
-      write(now, term);
+      write(now);
     }
   }
 
@@ -109,7 +116,7 @@
     return parts.bounds().machineLeaseMillis() * NANOS_PER_MILLI;
   }
 
-  private void write(final long now, final Term term) {
+  private void write(final long now) {
     writing = true;
     writtenAt = now;
     final List<Order> recorded = List.copyOf(waiting);
@@ -117,15 +124,15 @@
     final MachineOrdersDocument document = document();
     parts
         .store()
-        .commit(
-            Commit.empty()
-                .when(StoreKeys.TERM, term.revision())
-                .write(StoreKeys.MACHINE_ORDERS, Documents.write(document), 0))
+        .commit(items.write(items.begin(), StoreKeys.MACHINE_ORDERS, Documents.write(document)))
         .whenCompleteAsync(
             logged(
                 (result, failure) -> {
                   writing = false;
-                  final boolean done = failure == null && result.applied();
+                  final boolean done =
+                      failure == null
+                          && items.judge(result, List.of(StoreKeys.MACHINE_ORDERS))
+                              == HolderItems.Verdict.MADE;
                   if (done) {
                     kept = document;
                   }
--- a/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
@@ -33,7 +33,12 @@
   private final Map<String, Pending> pending = new HashMap<>();
   private boolean closed;
 
-  /** A move that the list does not show yet. */
+  /**
+   * A move that the list does not show yet.
+   *
+   * @param move the move
+   * @param answeredAt monotonic time in ns of the answer
+   */
   private record Pending(PoolPlanner.Move move, long answeredAt) {}
 
   MoveRunner(
--- a/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
@@ -16,8 +16,8 @@
  * their workers only after the commit that keeps them. Owned by the control thread.
  */
 final class ProgressWriter {
-  /** Jobs in one commit, beside the condition on the term. */
-  private static final int BATCH = Commit.MAX_ENTRIES - 1;
+  /** Jobs in one commit, each with a condition and a write, beside the condition on the term. */
+  private static final int BATCH = (Commit.MAX_ENTRIES - 1) / 2;
 
   /** Pause in ms after a failed commit. */
   private static final long RETRY_MILLIS = 60;
@@ -26,22 +26,21 @@
   private final JobBook jobs;
   private final Runnable superseded;
   private final List<Runnable> waiters = new ArrayList<>();
-  private Term term;
+  private final HolderItems items;
   private boolean busy;
   private boolean closed;
 
   ProgressWriter(
-      final ControlParts parts, final JobBook jobs, final Term term, final Runnable superseded) {
+      final ControlParts parts,
+      final JobBook jobs,
+      final HolderItems items,
+      final Runnable superseded) {
     this.parts = parts;
     this.jobs = jobs;
-    this.term = term;
+    this.items = items;
     this.superseded = superseded;
   }
 
-  void term(final Term present) {
-    term = present;
-  }
-
   /** Runs an action as soon as everything that has changed until now is kept. */
   void whenSaved(final Runnable action) {
     waiters.add(action);
@@ -59,24 +58,33 @@
       served.forEach(Runnable::run);
       return;
     }
-    Commit commit = Commit.empty().when(StoreKeys.TERM, term.revision());
+    Commit commit = items.begin();
     final List<JobProgress> written = new ArrayList<>();
     for (final JobRun job : batch) {
       final JobProgress progress = job.progress();
       written.add(progress);
-      commit = commit.write(StoreKeys.progress(job.id()), Documents.write(progress), 0);
+      commit = items.write(commit, StoreKeys.progress(job.id()), Documents.write(progress));
     }
     busy = true;
-    send(commit, new Batch(batch, written, served, term));
+    send(commit, new Batch(batch, written, served));
   }
 
   void close() {
     closed = true;
   }
 
-  /** Jobs of a commit with what was written of them and who waits for it. */
-  private record Batch(
-      List<JobRun> jobs, List<JobProgress> written, List<Runnable> waiters, Term term) {}
+  /**
+   * Jobs of a commit with what was written of them and who waits for it.
+   *
+   * @param jobs the jobs
+   * @param written what was written of them
+   * @param waiters actions to run when the commit is made
+   */
+  private record Batch(List<JobRun> jobs, List<JobProgress> written, List<Runnable> waiters) {
+    List<String> keys() {
+      return jobs.stream().map(job -> StoreKeys.progress(job.id())).toList();
+    }
+  }
 
   private void send(final Commit commit, final Batch batch) {
     parts
@@ -100,10 +108,11 @@
       parts.executor().schedule(this::flush, RETRY_MILLIS, TimeUnit.MILLISECONDS);
       return;
     }
-    if (!result.applied()) {
+    final HolderItems.Verdict verdict = items.judge(result, batch.keys());
+    if (verdict != HolderItems.Verdict.MADE) {
       batch.jobs().forEach(jobs::changed);
       waiters.addAll(batch.waiters());
-      if (batch.term().equals(term)) {
+      if (verdict == HolderItems.Verdict.SUPERSEDED) {
         superseded.run();
       } else {
         flush();
--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.lentilsail.model.job.WorkerEntry;
-import org.lentilsail.store.Commit;
 
 /**
  * Keeps in the store which workers may have been given work; a worker is admitted only after that.
@@ -23,26 +22,22 @@
   private final Runnable superseded;
   private final Map<String, WorkerEntry> members = new LinkedHashMap<>();
   private final List<WorkerEntry> waiting = new ArrayList<>();
-  private Term term;
+  private final HolderItems items;
   private boolean dirty;
   private boolean busy;
   private boolean closed;
 
   Roster(
       final ControlParts parts,
-      final Term term,
+      final HolderItems items,
       final Consumer<WorkerEntry> admitted,
       final Runnable superseded) {
     this.parts = parts;
-    this.term = term;
+    this.items = items;
     this.admitted = admitted;
     this.superseded = superseded;
   }
 
-  void term(final Term present) {
-    term = present;
-  }
-
   /** Takes over the members that an earlier holder has kept. */
   void restore(final List<WorkerEntry> kept) {
     kept.forEach(entry -> members.put(entry.id(), entry));
@@ -82,13 +77,9 @@
     waiting.clear();
     final RosterDocument document =
         new RosterDocument(members.values().stream().map(RosterDocument.Row::of).toList());
-    final Term used = term;
     parts
         .store()
-        .commit(
-            Commit.empty()
-                .when(StoreKeys.TERM, used.revision())
-                .write(StoreKeys.ROSTER, Documents.write(document), 0))
+        .commit(items.write(items.begin(), StoreKeys.ROSTER, Documents.write(document)))
         .whenCompleteAsync(
             logged(
                 (result, failure) -> {
@@ -96,13 +87,17 @@
                   if (closed) {
                     return;
                   }
-                  if (failure == null && result.applied()) {
-                    written.forEach(admitted);
-                    write();
-                  } else if (failure == null && used.equals(term)) {
-                    superseded.run();
-                  } else {
-                    again(written);
+                  final HolderItems.Verdict verdict =
+                      failure == null
+                          ? items.judge(result, List.of(StoreKeys.ROSTER))
+                          : HolderItems.Verdict.REPEAT;
+                  switch (verdict) {
+                    case MADE -> {
+                      written.forEach(admitted);
+                      write();
+                    }
+                    case SUPERSEDED -> superseded.run();
+                    default -> again(written);
                   }
                 }),
             parts.executor());
--- a/library/src/main/java/org/lentilsail/jobs/RosterDocument.java
+++ b/library/src/main/java/org/lentilsail/jobs/RosterDocument.java
@@ -16,7 +16,18 @@
     workers = List.copyOf(workers);
   }
 
-  /** A worker, with what is needed to ask it. */
+  /**
+   * A worker, with what is needed to ask it.
+   *
+   * @param id id
+   * @param service name of the service
+   * @param host host of the address
+   * @param port port of the address
+   * @param zone availability zone
+   * @param capacity resources for tasks
+   * @param labels its kind and its rack
+   * @param bornMillis wall clock time of its start in ms since the Unix epoch
+   */
   record Row(
       String id,
       String service,
--- a/library/src/main/java/org/lentilsail/jobs/Submissions.java
+++ b/library/src/main/java/org/lentilsail/jobs/Submissions.java
@@ -39,7 +39,12 @@
   private final Deque<Pending> queue = new ArrayDeque<>();
   private int commits;
 
-  /** A job that waits for its commit. */
+  /**
+   * A job that waits for its commit.
+   *
+   * @param job the job
+   * @param outcome completed with what the caller may be told
+   */
   private record Pending(SubmittedJob job, CompletableFuture<SubmitOutcome> outcome) {
     String key() {
       return StoreKeys.submission(job.spec().id());
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -17,7 +17,6 @@
 import org.lentilsail.policy.job.Wave;
 import org.lentilsail.policy.job.WavePlanner;
 import org.lentilsail.policy.job.WorkerState;
-import org.lentilsail.store.Commit;
 import org.lentilsail.store.StoredItem;
 import org.lentilsail.worker.MachineAnswer;
 
@@ -40,6 +39,7 @@
   private final Runnable changed;
   private final Consumer<String> workerEnded;
   private final MachineDirectory directory;
+  private final HolderItems items;
   private final WavePlanner planner;
   private final Map<Long, Wave> waves = new LinkedHashMap<>();
   private final Map<Long, List<String>> kept = new HashMap<>();
@@ -53,11 +53,13 @@
       final JobBook jobs,
       final RunLedger ledger,
       final MachineDirectory directory,
+      final HolderItems items,
       final Runnable changed,
       final Consumer<String> workerEnded) {
     this.parts = parts;
     this.workerEnded = workerEnded;
     this.directory = directory;
+    this.items = items;
     this.fleet = fleet;
     this.ledger = ledger;
     this.changed = changed;
@@ -115,7 +117,7 @@
     if (waves.values().stream().allMatch(this::isClosed)) {
       return;
     }
-    writeStatus(term);
+    writeStatus();
     for (final Wave wave : waves.values()) {
       if (!wave.isComplete()) {
         planner
@@ -204,27 +206,26 @@
   }
 
   /** Keeps what is done and writes the status, one wave at a time. */
-  private void writeStatus(final Term term) {
+  private void writeStatus() {
     for (final Wave wave : waves.values()) {
       final String wanted = wave.isComplete() ? "completed" : "running " + wave.ordered().size();
       if (!writing && !wanted.equals(statusWritten.get(wave.request().number()))) {
-        writeStatus(wave, wanted, term);
+        writeStatus(wave, wanted);
       }
     }
   }
 
-  private void writeStatus(final Wave wave, final String wanted, final Term term) {
+  private void writeStatus(final Wave wave, final String wanted) {
     final long number = wave.request().number();
     writing = true;
     parts
         .store()
         .commit(
-            Commit.empty()
-                .when(StoreKeys.TERM, term.revision())
+            items
                 .write(
+                    items.begin(),
                     StoreKeys.wave(number),
-                    Documents.write(new WaveDocument(List.copyOf(wave.ordered()))),
-                    0)
+                    Documents.write(new WaveDocument(List.copyOf(wave.ordered()))))
                 .write(
                     parts.documents().waveStatusKey(number),
                     parts.documents().waveStatus(wave.isComplete()),
@@ -233,7 +234,9 @@
             logged(
                 (result, failure) -> {
                   writing = false;
-                  if (failure == null && result.applied()) {
+                  if (failure == null
+                      && items.judge(result, List.of(StoreKeys.wave(number)))
+                          == HolderItems.Verdict.MADE) {
                     statusWritten.put(number, wanted);
                     parts.log().log("wave-status", "wave", number, "status", wanted);
                   }
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -2,14 +2,10 @@
 
 import static org.lentilsail.store.Callbacks.logged;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.lentilsail.policy.job.Order;
 import org.lentilsail.policy.job.Pacing;
 import org.lentilsail.policy.job.RunLedger;
-import org.lentilsail.policy.job.RunPhase;
 import org.lentilsail.policy.job.StuckRuns;
 import org.lentilsail.policy.job.TaskRun;
 import org.lentilsail.policy.job.WorkerList;
@@ -17,8 +13,6 @@
 import org.lentilsail.worker.LookOrder;
 import org.lentilsail.worker.LookReply;
 import org.lentilsail.worker.OrderAnswer;
-import org.lentilsail.worker.OrderReply;
-import org.lentilsail.worker.StartOrder;
 
 /**
  * Talks to one worker: looks at its lists, renews the lease of its runs, acknowledges ends and
@@ -28,9 +22,6 @@
   /** Lease in ms from each look; longer than a change of the holder takes, see docs/platform.md. */
   private static final long LEASE_MILLIS = 4_000;
 
-  /** Time in ms until a start order expires; a start carried out later is rejected. */
-  private static final long START_MILLIS = 1_500;
-
   /** Longest wait of a look at a worker with runs, in ms. */
   private static final long BUSY_WAIT_MILLIS = 700;
 
@@ -43,71 +34,43 @@
   /** Pause in ms between looks while ends wait to be kept. */
   private static final long KEEPING_MILLIS = 300;
 
-  /** Pause in ms after a stop that was not answered. */
-  private static final long STOP_RETRY_MILLIS = 250;
-
-  /** Time in ns without work for a worker that has just rejected a start. */
-  private static final long NO_ROOM_NANOS = 120_000_000L;
-
-  /** Orders on their way to one worker; with the look they stay below its connection limit. */
-  private static final int MAX_ORDERS = 6;
-
   private final ControlParts parts;
   private final WorkerState worker;
   private final RunLedger ledger;
   private final SessionEvents events;
-  private final Deque<Order> orders = new ArrayDeque<>();
-  private long token;
+  private final WorkerOrders orders;
+  private final HolderItems items;
   private long endsKept;
   private boolean keeping;
   private boolean closed;
   private int looks;
-  private int ordersSent;
   private long pacedAt = Long.MIN_VALUE / 2;
 
-  /** What the control loop does for its sessions. */
-  interface SessionEvents {
-    /** Tells whether this daemon surely holds control. */
-    boolean isSure();
-
-    /** Tells whether leases should be as long as possible, because renewals may fail soon. */
-    boolean isStoreDoubtful();
-
-    /** Hears that a worker has seen a newer token. */
-    void fenced();
-
-    /** Hears that state has changed and work may be placed. */
-    void changed();
-
-    /** Hears that the runs of the worker are known or have surely ended. */
-    void resolved(WorkerState worker);
-
-    /** Hears that the worker has ended. */
-    void gone(WorkerState worker);
-
-    /** Runs an action when all progress until now is kept. */
-    void whenKept(Runnable action);
-  }
-
   WorkerSession(
       final ControlParts parts,
       final WorkerState worker,
       final RunLedger ledger,
-      final long token,
+      final HolderItems items,
       final SessionEvents events) {
     this.parts = parts;
     this.worker = worker;
     this.ledger = ledger;
-    this.token = token;
+    this.items = items;
     this.events = events;
+    this.orders = new WorkerOrders(parts, worker, ledger, events, this);
   }
 
   WorkerState worker() {
     return worker;
   }
 
-  void token(final long present) {
-    token = present;
+  /** Returns the fencing token of orders. */
+  long token() {
+    return items.token();
+  }
+
+  boolean isClosed() {
+    return closed;
   }
 
   void close() {
@@ -116,12 +79,7 @@
 
   /** Sends an order, or queues it behind the ones on their way. */
   void send(final Order order) {
-    if (order instanceof Order.Stop) {
-      orders.addFirst(order);
-    } else {
-      orders.addLast(order);
-    }
-    sendNext();
+    orders.send(order);
   }
 
   /** Looks at the worker now, beside a look that may be waiting there. */
@@ -146,14 +104,14 @@
             : worker.runs().isEmpty() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
     parts
         .workers()
-        .look(worker.entry(), new LookOrder(until, token, endsKept, wait))
+        .look(worker.entry(), new LookOrder(until, token(), endsKept, wait))
         .whenCompleteAsync(
             logged((reply, failure) -> guarded(() -> looked(turn, reply, sentAt))),
             parts.executor());
   }
 
   /** Runs a callback; a fault in it is logged and does not end the session. */
-  private void guarded(final Runnable callback) {
+  void guarded(final Runnable callback) {
     try {
       callback.run();
     } catch (final RuntimeException error) {
@@ -311,150 +269,12 @@
     lost(reply.detail());
   }
 
-  private void lost(final String reason) {
+  /** Takes in that a call was not answered. */
+  void lost(final String reason) {
     final boolean wasAnswering = worker.isAnswering();
     worker.silent(parts.time().nanos());
     if (wasAnswering) {
       parts.log().log("worker-silent", "worker", worker.id(), "reason", reason);
     }
   }
-
-  private void sendNext() {
-    while (!closed && ordersSent < MAX_ORDERS && !orders.isEmpty()) {
-      final Order order = orders.poll();
-      final CompletableFuture<OrderReply> reply = dispatch(order);
-      if (reply != null) {
-        ordersSent++;
-        reply.whenCompleteAsync(
-            logged(
-                (answer, failure) -> {
-                  ordersSent--;
-                  if (!closed) {
-                    guarded(() -> answered(order, answer));
-                    sendNext();
-                  }
-                }),
-            parts.executor());
-      }
-    }
-  }
-
-  /** Sends an order that still makes sense; returns null for one that does not. */
-  private CompletableFuture<OrderReply> dispatch(final Order order) {
-    final TaskRun run = order.run();
-    if (order instanceof Order.Start) {
-      return start(run);
-    }
-    if (order instanceof Order.Pace pace) {
-      return parts
-          .workers()
-          .pace(worker.entry(), run.task().id(), run.number(), pace.percent(), token);
-    }
-    return parts.workers().stop(worker.entry(), run.task().id(), run.number(), token);
-  }
-
-  private CompletableFuture<OrderReply> start(final TaskRun run) {
-    final long now = parts.time().nanos();
-    if (run.phase() == RunPhase.STOPPING || !events.isSure() || !worker.clock().isKnown()) {
-      ledger.notStarted(run, now);
-      events.changed();
-      return null;
-    }
-    final long until = worker.clock().estimate(now) + START_MILLIS;
-    run.startExpiry(until);
-    final String text = run.task().step().job().submitted().spec().text();
-    return parts
-        .workers()
-        .start(
-            worker.entry(),
-            new StartOrder(
-                run.task().id(), run.number(), text, until, token, run.task().checkpoint(), ""));
-  }
-
-  private void answered(final Order order, final OrderReply reply) {
-    final long now = parts.time().nanos();
-    if (reply.clockMillis() >= 0 && reply.answer() != OrderAnswer.GONE) {
-      worker.clock().read(reply.clockMillis(), now);
-    }
-    if (reply.answer() == OrderAnswer.FENCED) {
-      events.fenced();
-    }
-    if (order instanceof Order.Start) {
-      started(order.run(), reply, now);
-    } else if (order instanceof Order.Stop) {
-      stopped(order, reply, now);
-    } else if (reply.answer() != OrderAnswer.DONE) {
-      parts.log().log("pace-failed", "worker", worker.id(), "answer", reply.answer());
-    }
-  }
-
-  private void started(final TaskRun run, final OrderReply reply, final long now) {
-    logStart(run, reply);
-    switch (reply.answer()) {
-      case DONE -> ledger.started(run, now);
-      case UNKNOWN -> {
-        ledger.startUnanswered(run, now);
-        look();
-      }
-      case GONE -> {
-        ledger.lost(worker, now);
-        events.gone(worker);
-      }
-      default -> {
-        refused(reply.answer(), now);
-        ledger.notStarted(run, now);
-      }
-    }
-    events.changed();
-  }
-
-  private void refused(final OrderAnswer answer, final long now) {
-    if (answer == OrderAnswer.NOT_SENT) {
-      lost("a start could not be sent");
-    } else {
-      worker.noRoom(now + NO_ROOM_NANOS);
-    }
-  }
-
-  private void logStart(final TaskRun run, final OrderReply reply) {
-    parts.metrics().start(reply.answer().name(), run.createdAt() - run.task().waitingSince());
-    parts.log().log(
-        "task-start",
-        "task",
-        run.task().id().text(),
-        "run",
-        run.number(),
-        "worker",
-        worker.id(),
-        "waitedMs",
-        (run.createdAt() - run.task().waitingSince()) / 1_000_000,
-        "answer",
-        reply.answer(),
-        "detail",
-        reply.detail());
-  }
-
-  private void stopped(final Order order, final OrderReply reply, final long now) {
-    final TaskRun run = order.run();
-    if (run.task().step() == null) {
-      return;
-    }
-    if (reply.answer() == OrderAnswer.DONE
-        || reply.answer() == OrderAnswer.OUTDATED
-        || reply.answer() == OrderAnswer.INVALID) {
-      ledger.stopAnswered(run, now);
-      look();
-    } else if (worker.runs().contains(run)) {
-      parts
-          .executor()
-          .schedule(
-              () -> {
-                if (!closed && worker.runs().contains(run)) {
-                  send(order);
-                }
-              },
-              STOP_RETRY_MILLIS,
-              TimeUnit.MILLISECONDS);
-    }
-  }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/JobBook.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobBook.java
@@ -38,7 +38,7 @@
   public void configuration(final JobConfiguration present) {
     configuration = present;
     for (final JobRun job : active) {
-      present.queue(job.submitted().queue()).ifPresent(job::queue);
+      present.queue(job.submitted().queue()).ifPresent(job::useQueue);
     }
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/JobOrder.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobOrder.java
@@ -11,7 +11,16 @@
 final class JobOrder {
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /** Position of a step. */
+  /**
+   * Position of a step.
+   *
+   * @param step the step
+   * @param lasting 0 for tasks that last, 1 for tasks that fill beside them, 2 for others
+   * @param priority priority of the queue, 0 comes first
+   * @param late 1 when the objective can no longer be met
+   * @param workLeft estimated work left in core-milliseconds
+   * @param arrivedAt monotonic time in ns of the arrival
+   */
   record Rank(StepRun step, int lasting, int priority, int late, double workLeft, long arrivedAt) {}
 
   /** Compares positions. */
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -213,7 +213,7 @@
     return new JobProgress(state, finishedMillis, kept);
   }
 
-  void queue(final QueueSpec present) {
+  void useQueue(final QueueSpec present) {
     queue = present;
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/Pacing.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Pacing.java
@@ -52,7 +52,7 @@
       if (run.task().step().spec().fills() && run.phase() == RunPhase.RUNNING) {
         final int wanted = next(run.percent(), highest);
         if (wanted != run.percent()) {
-          run.percent(wanted);
+          run.pacedTo(wanted);
           changes.add(new Order.Pace(run, wanted));
         }
       }
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -42,7 +42,13 @@
   private final Map<String, Long> surplusSince = new HashMap<>();
   private final Set<String> moving = new HashSet<>();
 
-  /** A machine to be moved. */
+  /**
+   * A machine to be moved.
+   *
+   * @param machine the machine
+   * @param pool name of the service that gets the machine
+   * @param since monotonic time in ns at which its emptying began
+   */
   public record Move(Machine machine, String pool, long since) {}
 
   /** A pool while moves are planned. */
--- a/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
@@ -14,7 +14,12 @@
   private final Map<String, Pending> pending = new HashMap<>();
   private long openedAt = Long.MIN_VALUE;
 
-  /** A worker that has not been asked yet. */
+  /**
+   * A worker that has not been asked yet.
+   *
+   * @param service name of the service
+   * @param expiresAt monotonic time in ns at which its lease has surely expired
+   */
   private record Pending(String service, long expiresAt) {}
 
   /**
--- a/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
@@ -151,7 +151,7 @@
     for (final ListedEnd end : list.ended()) {
       if (end.number() > worker.endsSeen()) {
         mustKeep |= ended(worker, end, now, wallMillis);
-        worker.endsSeen(end.number());
+        worker.tookEnd(end.number());
       }
     }
     final Map<TaskRun, Boolean> seen = new HashMap<>();
@@ -205,7 +205,7 @@
     }
     started(run, now);
     run.measured(entry.usage(), entry.percent(), now);
-    task.checkpoint(entry.checkpoint());
+    task.saved(entry.checkpoint());
     if (task.isDone() || task.step().job().state().isFinal()) {
       stop(run, "its work is over");
     }
@@ -266,7 +266,7 @@
     }
     task.noteRun(end.run());
     task.step().job().running();
-    task.checkpoint(end.checkpoint());
+    task.saved(end.checkpoint());
     switch (end.how()) {
       case DONE -> done(worker, task, wallMillis);
       case FAILED -> failed(worker, task, now, wallMillis);
--- a/policy/src/main/java/org/lentilsail/policy/job/Task.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Task.java
@@ -126,7 +126,7 @@
     checkpoint = saved;
   }
 
-  void checkpoint(final String value) {
+  void saved(final String value) {
     if (!value.isEmpty()) {
       checkpoint = value;
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
@@ -137,7 +137,7 @@
     return overTargetSince;
   }
 
-  void percent(final int value) {
+  void pacedTo(final int value) {
     percent = value;
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/Wave.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Wave.java
@@ -17,7 +17,12 @@
   private final Map<String, Down> down = new HashMap<>();
   private final Map<String, Long> retryAt = new HashMap<>();
 
-  /** A machine that is down for its maintenance. */
+  /**
+   * A machine that is down for its maintenance.
+   *
+   * @param worker id of the worker that ended, empty for none
+   * @param earliestBack monotonic time in ns before which the machine cannot be back
+   */
   private record Down(String worker, long earliestBack) {}
 
   /**
--- a/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
@@ -41,7 +41,12 @@
   private final Evacuation evacuation;
   private final Map<String, Long> emptyingSince = new HashMap<>();
 
-  /** A machine to be maintained now. */
+  /**
+   * A machine to be maintained now.
+   *
+   * @param wave the wave
+   * @param machine the machine
+   */
   public record Upkeep(Wave wave, Machine machine) {}
 
   /**
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -259,7 +259,7 @@
     synced = true;
   }
 
-  void endsSeen(final long number) {
+  void tookEnd(final long number) {
     endsSeen = number;
   }
 
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
@@ -37,10 +37,21 @@
   private long historyStart = 1;
   private long leaseCount;
 
-  /** An item with its lease. */
+  /**
+   * An item with its lease.
+   *
+   * @param item the item
+   * @param lease number of its lease, 0 for none
+   */
   private record Entry(StoredItem item, long lease) {}
 
-  /** A watch that waits for a change. */
+  /**
+   * A watch that waits for a change.
+   *
+   * @param prefix begin of the keys
+   * @param after revision after which changes are wanted
+   * @param answer the answer
+   */
   private record Waiter(String prefix, long after, CompletableFuture<WatchBatch> answer) {}
 
   /**
@@ -87,6 +98,7 @@
    * @param value its value
    */
   public synchronized void put(final String key, final byte[] value) {
+    revision++;
     write(key, value, 0);
     notifyWaiters();
   }
@@ -97,6 +109,7 @@
    * @param key its key
    */
   public synchronized void remove(final String key) {
+    revision++;
     delete(key);
     notifyWaiters();
   }
@@ -162,6 +175,7 @@
     if (!holds) {
       return new CommitResult(false, 0, present);
     }
+    revision++;
     commit.writes().forEach(write -> write(write.key(), write.value(), write.lease()));
     commit.removals().forEach(this::delete);
     notifyWaiters();
@@ -201,6 +215,7 @@
             keys.add(key);
           }
         });
+    revision++;
     keys.forEach(this::delete);
     notifyWaiters();
   }
@@ -221,7 +236,6 @@
   }
 
   private void write(final String key, final byte[] value, final long lease) {
-    revision++;
     final StoredItem item = new StoredItem(key, value, revision);
     entries.put(key, new Entry(item, lease));
     history.add(new ItemChange(key, Optional.of(item), revision));
@@ -229,7 +243,6 @@
 
   private void delete(final String key) {
     if (entries.remove(key) != null) {
-      revision++;
       history.add(new ItemChange(key, Optional.empty(), revision));
     }
   }
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
@@ -25,6 +25,9 @@
   /** Time in ms after which a call without an answer is given up. */
   private static final long TIMEOUT_MILLIS = 700;
 
+  /** Delay in ms of calls that are carried out late. */
+  private static final long LATE_MILLIS = 2_000;
+
   private final MemoryStore store;
   private final String daemon;
   private final ScheduledExecutorService executor;
@@ -92,6 +95,10 @@
     switch (fault) {
       case REFUSED -> answer.completeExceptionally(failure(ErrorCode.PLATFORM_UNAVAILABLE));
       case SILENT -> giveUp(changes, answer);
+      case LATE -> {
+        executor.schedule(() -> run(action), LATE_MILLIS, TimeUnit.MILLISECONDS);
+        giveUp(changes, answer);
+      }
       case ANSWERS_LOST -> {
         action.get();
         giveUp(changes, answer);
@@ -109,6 +116,10 @@
     }
   }
 
+  private static void run(final Supplier<?> action) {
+    action.get();
+  }
+
   /** An answer is lost as well when the fault began while it was on its way. */
   private <T> void answered(
       final T value,
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -41,7 +41,12 @@
   private long endCount;
   private boolean alive = true;
 
-  /** A run under way. */
+  /**
+   * A run under way.
+   *
+   * @param run number of the run
+   * @param startedAt monotonic time in ns of the start
+   */
   private record Running(int run, long startedAt) {}
 
   SimulatedWorker(
--- a/standin/src/main/java/org/lentilsail/standin/jobs/StoreFault.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/StoreFault.java
@@ -9,5 +9,7 @@
   /** Calls are not answered; nothing is done. */
   SILENT,
   /** Calls are carried out and not answered. */
-  ANSWERS_LOST
+  ANSWERS_LOST,
+  /** Calls are carried out two seconds late and not answered. */
+  LATE
 }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -207,6 +207,20 @@
     assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
   }
 
+  @Test
+  void progressThatIsWrittenLateDoesNotHideLaterProgress() {
+    deployment.submit(second, JOB, step(2), step(2, 0), step(1, 1));
+    deployment.advance(Duration.ofMillis(TASK_MILLIS - 30));
+    deployment.store.fault("d1", StoreFault.LATE);
+    deployment.advance(Duration.ofMillis(100));
+    deployment.store.fault("d1", StoreFault.NONE);
+    deployment.advance(Duration.ofSeconds(3));
+    first.resign();
+    deployment.advance(Duration.ofSeconds(2));
+    assertThat(deployment.workers.history().starts(JOB), is(5));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
   @Test
   void jobsAcceptedBesideLostHistoryAreFound() {
     deployment.store.compact();
