Let a new holder order machines whose last order shows in the list

Change: the record names the worker that the order ends; a list without that worker shows that it was carried out. Tests: JobNodeTest.newHolderOrdersMachineAgainWhenTheListShowsThatTheOrderWasCarriedOut.

--- a/library/src/main/java/org/lentilsail/jobs/MachineControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineControl.java
@@ -47,7 +47,7 @@
   void tick(final long now, final Term term) {
     waves.tick(now, term, moves::isMoving);
     moves.tick(now, term, waves.maintained());
-    directory.orders().tick(now);
+    directory.orders().tick(now, directory.machines());
   }
 
   void close() {
--- a/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineOrders.java
@@ -9,7 +9,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
+import org.lentilsail.model.job.Machine;
+import org.lentilsail.model.job.MachineState;
+import org.lentilsail.policy.job.MachineBook;
 import org.lentilsail.store.StoredItem;
 
 /**
@@ -30,11 +34,11 @@
 
   private final ControlParts parts;
   private final HolderItems items;
-  private final Set<String> underWay = new HashSet<>();
-  private final Map<String, Long> blockedUntil = new HashMap<>();
+  private final Map<String, String> underWay = new HashMap<>();
+  private final Map<String, Blocked> blocked = new HashMap<>();
   private final List<Order> waiting = new ArrayList<>();
   private final Map<String, Long> answeredAt = new HashMap<>();
-  private MachineOrdersDocument kept = new MachineOrdersDocument(List.of(), List.of());
+  private MachineOrdersDocument kept = new MachineOrdersDocument(Map.of(), List.of());
   private boolean writing;
   private long writtenAt = Long.MIN_VALUE / 2;
 
@@ -47,6 +51,24 @@
    */
   private record Order(String machine, Runnable send, Runnable cancel) {}
 
+  /**
+   * A machine that gets no orders.
+   *
+   * @param worker worker that the order ends, empty for none or when the order was answered
+   * @param since monotonic time in ns from which a list shows whether the order was carried out
+   * @param until monotonic time in ns at which it may be ordered again in any case
+   * @param leaseUntil monotonic time in ns before which it may not be ordered
+   */
+  private record Blocked(String worker, long since, long until, long leaseUntil) {
+    /** Tells whether the list shows that the order was carried out. */
+    boolean isCarriedOut(final Machine machine, final long askedAt) {
+      return askedAt > since
+          && machine != null
+          && !worker.isEmpty()
+          && (machine.state() != MachineState.UP || !machine.worker().equals(worker));
+    }
+  }
+
   MachineOrders(final ControlParts parts, final HolderItems items) {
     this.parts = parts;
     this.items = items;
@@ -54,20 +76,26 @@
 
   /** Takes over the orders of an earlier holder. */
   void restore(final Optional<StoredItem> item, final long claimedAt) {
+    final long lease = claimedAt + leaseNanos();
     item.flatMap(found -> Documents.<MachineOrdersDocument>read(Documents.MACHINE_ORDERS, found))
         .ifPresent(
             document -> {
-              final long lease = leaseNanos();
-              document.answered().forEach(machine -> blockedUntil.put(machine, claimedAt + lease));
+              document
+                  .answered()
+                  .forEach(id -> blocked.put(id, new Blocked("", claimedAt, lease, lease)));
               document
                   .unanswered()
-                  .forEach(machine -> blockedUntil.put(machine, claimedAt + LATE_NANOS));
+                  .forEach(
+                      (id, worker) ->
+                          blocked.put(
+                              id, new Blocked(worker, claimedAt, claimedAt + LATE_NANOS, lease)));
             });
   }
 
   /** Marks an order as under way; false when the machine has one already. */
-  boolean begin(final String machine) {
-    return !blockedUntil.containsKey(machine) && underWay.add(machine);
+  boolean begin(final Machine machine) {
+    return !blocked.containsKey(machine.id())
+        && underWay.putIfAbsent(machine.id(), machine.worker()) == null;
   }
 
   /** Sends an order that has begun as soon as it is recorded. */
@@ -77,28 +105,37 @@
 
   /** Ends an order; one without an answer blocks its machine for some time. */
   void end(final String machine, final boolean answered) {
-    underWay.remove(machine);
+    final String worker = underWay.remove(machine);
+    final long now = parts.time().nanos();
     if (answered) {
-      answeredAt.put(machine, parts.time().nanos());
+      answeredAt.put(machine, now);
     } else {
-      blockedUntil.put(machine, parts.time().nanos() + LATE_NANOS);
+      blocked.put(machine, new Blocked(worker == null ? "" : worker, now, now + LATE_NANOS, now));
     }
   }
 
   /** Returns the machines that get no orders now. */
   Set<String> reserved() {
-    final Set<String> reserved = new HashSet<>(underWay);
-    reserved.addAll(blockedUntil.keySet());
+    final Set<String> reserved = new HashSet<>(underWay.keySet());
+    reserved.addAll(blocked.keySet());
     return reserved;
   }
 
   /** Returns the machines with orders that may still be carried out. */
   Set<String> blocked() {
-    return Set.copyOf(blockedUntil.keySet());
+    return Set.copyOf(blocked.keySet());
   }
 
-  void tick(final long now) {
-    blockedUntil.values().removeIf(until -> now >= until);
+  void tick(final long now, final MachineBook machines) {
+    blocked
+        .entrySet()
+        .removeIf(
+            entry ->
+                now >= entry.getValue().until()
+                    || now >= entry.getValue().leaseUntil()
+                        && entry
+                            .getValue()
+                            .isCarriedOut(machines.machine(entry.getKey()), machines.askedAt()));
     answeredAt.values().removeIf(at -> now - at >= leaseNanos());
     final boolean outdated = now - writtenAt >= CLEAR_NANOS && !kept.equals(document());
     if (!writing && (!waiting.isEmpty() || outdated)) {
@@ -107,9 +144,11 @@
   }
 
   private MachineOrdersDocument document() {
+    final Map<String, String> unanswered = new TreeMap<>(underWay);
+    blocked.forEach((id, order) -> unanswered.put(id, order.worker()));
     final Set<String> answered = new TreeSet<>(answeredAt.keySet());
-    answered.removeAll(reserved());
-    return new MachineOrdersDocument(List.copyOf(new TreeSet<>(reserved())), List.copyOf(answered));
+    answered.removeAll(unanswered.keySet());
+    return new MachineOrdersDocument(unanswered, List.copyOf(answered));
   }
 
   private long leaseNanos() {
--- a/library/src/main/java/org/lentilsail/jobs/MachineOrdersDocument.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineOrdersDocument.java
@@ -1,17 +1,19 @@
 package org.lentilsail.jobs;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * Machines with recent orders.
  *
- * @param unanswered ids of the machines with an order that may still be carried out
+ * @param unanswered machines with an order that may still be carried out: the worker that it ends
+ *     by id of the machine, empty for a machine without one
  * @param answered ids of the machines whose last order was answered a short time ago
  */
-record MachineOrdersDocument(List<String> unanswered, List<String> answered) {
+record MachineOrdersDocument(Map<String, String> unanswered, List<String> answered) {
 
   MachineOrdersDocument {
-    unanswered = List.copyOf(unanswered);
+    unanswered = Map.copyOf(unanswered);
     answered = List.copyOf(answered);
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
@@ -98,7 +98,7 @@
 
   private void order(final PoolPlanner.Move move, final Term term) {
     final String machine = move.machine().id();
-    if (directory.orders().begin(machine)) {
+    if (directory.orders().begin(move.machine())) {
       directory.orders().send(machine, () -> send(move, term), () -> cancel(move));
     } else {
       planner.ended(machine);
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -133,7 +133,7 @@
 
   private void order(final WavePlanner.Upkeep upkeep, final Term term) {
     final String machine = upkeep.machine().id();
-    if (directory.orders().begin(machine)) {
+    if (directory.orders().begin(upkeep.machine())) {
       upkeep.wave().ordering(machine, upkeep.machine().worker());
       directory.orders().send(machine, () -> send(upkeep, term), () -> cancel(upkeep));
     }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lentilsail.jobs.JobNode;
@@ -244,6 +245,22 @@
     assertThat(maintained, containsInAnyOrder("m0", "m1", "m2", "m3"));
   }
 
+  @ParameterizedTest
+  @CsvSource({"old, 0, true", "'', 0, false", "'', 12, true"})
+  void newHolderOrdersMachineAgainWhenTheListShowsThatTheOrderWasCarriedOut(
+      final String workerBefore, final int moreSeconds, final boolean ordered) {
+    deployment.startMachine("m0");
+    deployment.store.put(
+        "machine-orders",
+        ("{\"unanswered\":{\"m0\":\"" + workerBefore + "\"},\"answered\":[]}")
+            .getBytes(StandardCharsets.UTF_8));
+    first.resign();
+    deployment.advance(Duration.ofSeconds(1));
+    deployment.store.put("op/wave/1", "m0".getBytes(StandardCharsets.UTF_8));
+    deployment.advance(Duration.ofSeconds(4 + moreSeconds));
+    assertThat(deployment.machines.orders().isEmpty(), is(!ordered));
+  }
+
   @Test
   void countsJobsThatWaitForWorkers() {
     deployment.submit(first, JOB, gang(17));
