--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -99,10 +99,6 @@
     return own != null && lease.isSure();
   }
 
-  boolean isHolder() {
-    return own != null;
-  }
-
   long knownTerm() {
     return knownTerm;
   }
--- a/library/src/main/java/org/lentilsail/jobs/JobGate.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobGate.java
@@ -1,6 +1,5 @@
 package org.lentilsail.jobs;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -224,9 +223,4 @@
       }
     };
   }
-
-  /** Returns the numbers of waiting jobs that were read last, for the state dump. */
-  Map<String, Integer> lastWaiting() {
-    return new HashMap<>(waiting);
-  }
 }
--- a/library/src/main/java/org/lentilsail/worker/OrderAnswer.java
+++ b/library/src/main/java/org/lentilsail/worker/OrderAnswer.java
@@ -23,14 +23,5 @@
   /** It was not sent. */
   NOT_SENT,
   /** There was no answer; it may have been carried out or may still be. */
-  UNKNOWN;
-
-  /**
-   * Tells whether the worker answered.
-   *
-   * @return whether anything is known from the worker itself
-   */
-  public boolean isAnswer() {
-    return this != NOT_SENT && this != UNKNOWN;
-  }
+  UNKNOWN
 }
