Say once how a worker ends, how much work is left and how long a chain is

The work formula of JobRun and PoolLoads is StepRun.workLeft. - TaskRun.isLasting replaces seven chains of accessors; unused methods and results are gone. - Housekeeping builds its commits by HolderItems and drops the revisions of removed jobs, which were kept forever.

--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -99,10 +99,6 @@
     return own != null && lease.isSure();
   }
 
-  long knownTerm() {
-    return knownTerm;
-  }
-
   /** Reports that a worker has seen a newer token; trust ends until the lease is renewed. */
   void doubt() {
     lease.doubt();
--- a/library/src/main/java/org/lentilsail/jobs/HolderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/HolderWorkers.java
@@ -149,9 +149,7 @@
           && (!worker.runs().isEmpty() || gate.isPending(worker.id()))
           && !carried.contains(worker.id())) {
         parts.log().log("worker-ended", "worker", worker.id(), "runs", worker.runs().size());
-        worker.unlisted();
-        ledger.lost(worker, parts.time().nanos());
-        forget(worker.id());
+        ended(worker.id());
         events.changed();
       }
     }
@@ -176,6 +174,16 @@
     }
   }
 
+  /** Takes in that a worker has ended with everything on it. */
+  void ended(final String id) {
+    final WorkerState worker = fleet.worker(id);
+    if (worker != null) {
+      worker.unlisted();
+      ledger.lost(worker, parts.time().nanos());
+      forget(id);
+    }
+  }
+
   /** Forgets a worker that has surely ended. */
   void forget(final String id) {
     final WorkerSession session = sessions.remove(id);
--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -33,29 +33,32 @@
   private final ControlParts parts;
   private final JobBook jobs;
   private final Fleet fleet;
+  private final HolderItems items;
   private long loggedAt = Long.MIN_VALUE / 2;
   private Map<String, Integer> published;
   private long publishedAt = Long.MIN_VALUE / 2;
   private long removedAt = Long.MIN_VALUE / 2;
   private boolean busy;
 
-  Housekeeping(final ControlParts parts, final JobBook jobs, final Fleet fleet) {
+  Housekeeping(
+      final ControlParts parts, final JobBook jobs, final Fleet fleet, final HolderItems items) {
+    this.items = items;
     this.parts = parts;
     this.fleet = fleet;
     this.jobs = jobs;
   }
 
-  void tick(final long now, final Term term) {
+  void tick(final long now) {
     if (now - loggedAt >= LOG_NANOS) {
       loggedAt = now;
       new PoolLoads(jobs, fleet).measure(now).forEach(this::logLoad);
     }
     if (!busy && now - publishedAt >= PUBLISH_NANOS) {
-      publish(now, term);
+      publish(now);
     }
     if (!busy && now - removedAt >= REMOVE_NANOS) {
       removedAt = now;
-      remove(term);
+      remove();
     }
   }
 
@@ -84,7 +87,7 @@
         load.waitingTasks());
   }
 
-  private void publish(final long now, final Term term) {
+  private void publish(final long now) {
     final Map<String, Integer> counts = new HashMap<>();
     for (final JobRun job : jobs.active()) {
       if (!job.hasBegun() && !job.submitted().spec().timed()) {
@@ -96,13 +99,11 @@
       return;
     }
     commit(
-        Commit.empty()
-            .when(StoreKeys.TERM, term.revision())
-            .write(StoreKeys.WAITING, Documents.write(new WaitingDocument(counts)), 0),
+        items.begin().write(StoreKeys.WAITING, Documents.write(new WaitingDocument(counts)), 0),
         () -> published = counts);
   }
 
-  private void remove(final Term term) {
+  private void remove() {
     final long before =
         parts.time().wallMillis() - parts.bounds().keepStateMillis() - KEEP_MARGIN_MILLIS;
     final List<String> old = new ArrayList<>();
@@ -117,7 +118,7 @@
     if (old.isEmpty()) {
       return;
     }
-    Commit commit = Commit.empty().when(StoreKeys.TERM, term.revision());
+    Commit commit = items.begin();
     for (final String id : old) {
       commit =
           commit
@@ -125,7 +126,14 @@
               .remove(StoreKeys.cancellation(id))
               .remove(StoreKeys.progress(id));
     }
-    commit(commit, () -> old.forEach(jobs::forget));
+    commit(commit, () -> forget(old));
+  }
+
+  private void forget(final List<String> ids) {
+    for (final String id : ids) {
+      jobs.forget(id);
+      items.forget(StoreKeys.progress(id));
+    }
   }
 
   private void commit(final Commit commit, final Runnable done) {
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -84,9 +84,9 @@
             ledger,
             items,
             this::changed,
-            workers::forget,
+            workers::ended,
             workers::machinesListed);
-    housekeeping = new Housekeeping(parts, jobs, fleet);
+    housekeeping = new Housekeeping(parts, jobs, fleet, items);
     input = new JobInput(parts, jobs, ledger, this::inputLoaded, this::changed);
     inputFollower =
         new PrefixFollower(
@@ -245,7 +245,7 @@
       machines.refresh(now);
       if (isSure()) {
         machines.tick(now, term);
-        housekeeping.tick(now, term);
+        housekeeping.tick(now);
       }
       changed();
     } catch (final RuntimeException error) {
--- a/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
@@ -25,7 +25,6 @@
 
   private final ControlParts parts;
   private final Fleet fleet;
-  private final RunLedger ledger;
   private final MachineDirectory directory;
   private final PoolPlanner planner;
   private final PoolLoads loads;
@@ -50,7 +49,6 @@
       final Consumer<String> workerEnded) {
     this.parts = parts;
     this.fleet = fleet;
-    this.ledger = ledger;
     this.directory = directory;
     this.workerEnded = workerEnded;
     this.loads = new PoolLoads(jobs, fleet);
@@ -146,11 +144,7 @@
         answer);
     final String worker = move.machine().worker();
     if (answer == MachineAnswer.DONE) {
-      if (fleet.worker(worker) != null) {
-        fleet.worker(worker).unlisted();
-        ledger.lost(fleet.worker(worker), now);
-        workerEnded.accept(worker);
-      }
+      workerEnded.accept(worker);
     }
     pending.put(move.machine().id(), new Pending(move, now));
   }
--- a/library/src/main/java/org/lentilsail/jobs/StoreAvailability.java
+++ b/library/src/main/java/org/lentilsail/jobs/StoreAvailability.java
@@ -25,30 +25,18 @@
     this.time = time;
   }
 
-  /**
-   * Records a call that the store carried out.
-   *
-   * @return whether the store was not available before
-   */
-  public synchronized boolean answered() {
-    final boolean regained = !available;
+  /** Records a call that the store carried out. */
+  public synchronized void answered() {
     available = true;
-    return regained;
   }
 
-  /**
-   * Records a call without a useful answer.
-   *
-   * @return whether the store was available before
-   */
-  public synchronized boolean failed() {
-    final boolean lost = available;
-    if (lost) {
+  /** Records a call without a useful answer. */
+  public synchronized void failed() {
+    if (available) {
       lostAt = time.nanos();
       lastProbeAt = lostAt;
     }
     available = false;
-    return lost;
   }
 
   /**
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -16,7 +16,6 @@
 import org.lentilsail.policy.job.RunLedger;
 import org.lentilsail.policy.job.Wave;
 import org.lentilsail.policy.job.WavePlanner;
-import org.lentilsail.policy.job.WorkerState;
 import org.lentilsail.store.StoredItem;
 import org.lentilsail.worker.MachineAnswer;
 
@@ -34,8 +33,6 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final ControlParts parts;
-  private final Fleet fleet;
-  private final RunLedger ledger;
   private final Runnable changed;
   private final Consumer<String> workerEnded;
   private final MachineDirectory directory;
@@ -60,8 +57,6 @@
     this.workerEnded = workerEnded;
     this.directory = directory;
     this.items = items;
-    this.fleet = fleet;
-    this.ledger = ledger;
     this.changed = changed;
     this.planner =
         new WavePlanner(fleet, directory.machines(), new Evacuation(ledger, fleet, jobs));
@@ -184,7 +179,7 @@
     switch (answer) {
       case DONE -> {
         wave.began(machine, worker, now + parts.bounds().upkeepMillis() * NANOS_PER_MILLI);
-        ended(worker, now);
+        workerEnded.accept(worker);
       }
       case NOT_IN_WAVE, INVALID -> {
         wave.skip(machine);
@@ -196,15 +191,6 @@
     changed.run();
   }
 
-  private void ended(final String id, final long now) {
-    final WorkerState worker = fleet.worker(id);
-    if (worker != null) {
-      worker.unlisted();
-      ledger.lost(worker, now);
-      workerEnded.accept(id);
-    }
-  }
-
   /** Keeps what is done and writes the status, one wave at a time. */
   private void writeStatus() {
     for (final Wave wave : waves.values()) {
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -60,10 +60,6 @@
     this.orders = new WorkerOrders(parts, worker, ledger, events, this);
   }
 
-  WorkerState worker() {
-    return worker;
-  }
-
   /** Returns the fencing token of orders. */
   long token() {
     return items.token();
--- a/model/src/main/java/org/lentilsail/model/job/JobSpec.java
+++ b/model/src/main/java/org/lentilsail/model/job/JobSpec.java
@@ -33,13 +33,4 @@
   public boolean timed() {
     return maxRuns > 0;
   }
-
-  /**
-   * Tells whether the job runs until it is cancelled.
-   *
-   * @return whether any step does
-   */
-  public boolean longRunning() {
-    return steps.stream().anyMatch(StepSpec::longRunning);
-  }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/Evacuation.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Evacuation.java
@@ -49,7 +49,7 @@
   }
 
   private void advanceRun(final TaskRun run, final long elapsed, final long now) {
-    final boolean lasting = run.task().step().spec().longRunning();
+    final boolean lasting = run.isLasting();
     if (!lasting) {
       if (elapsed >= PATIENCE_NANOS) {
         ledger.stop(run, "its worker is being emptied");
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.IntToLongFunction;
 import org.lentilsail.model.job.JobProgress;
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.QueueSpec;
@@ -20,6 +21,7 @@
 
   private final SubmittedJob submitted;
   private final long arrivedAt;
+  private final long chainMillis;
   private final Map<Integer, List<StepRun>> occurrences = new TreeMap<>();
   private QueueSpec queue;
   private JobState state = JobState.PENDING;
@@ -32,6 +34,8 @@
     this.submitted = submitted;
     this.queue = queue;
     this.arrivedAt = arrivedAt;
+    final List<StepSpec> steps = submitted.spec().steps();
+    this.chainMillis = longestChain(steps, i -> steps.get(i).estimateMillis());
   }
 
   /**
@@ -147,16 +151,12 @@
   public long chainLeftMillis() {
     long longest = 0;
     for (final List<StepRun> steps : occurrences.values()) {
-      final long[] ends = new long[steps.size()];
-      for (int i = 0; i < ends.length; i++) {
-        final StepSpec spec = steps.get(i).spec();
-        long begin = 0;
-        for (final int before : spec.after()) {
-          begin = Math.max(begin, ends[before]);
-        }
-        ends[i] = begin + (steps.get(i).isDone() ? 0 : spec.estimateMillis());
-        longest = Math.max(longest, ends[i]);
-      }
+      longest =
+          Math.max(
+              longest,
+              longestChain(
+                  submitted.spec().steps(),
+                  i -> steps.get(i).isDone() ? 0 : steps.get(i).spec().estimateMillis()));
     }
     return longest;
   }
@@ -170,8 +170,7 @@
     double work = 0;
     for (final List<StepRun> steps : occurrences.values()) {
       for (final StepRun step : steps) {
-        final StepSpec spec = step.spec();
-        work += (double) step.left() * spec.estimateMillis() * spec.demand().cpuMillis() / 1000;
+        work += step.workLeft();
       }
     }
     return work;
@@ -183,18 +182,7 @@
    * @return monotonic time in ns
    */
   public long objectiveAt() {
-    long chain = 0;
-    final List<StepSpec> steps = submitted.spec().steps();
-    final long[] ends = new long[steps.size()];
-    for (int i = 0; i < ends.length; i++) {
-      long begin = 0;
-      for (final int before : steps.get(i).after()) {
-        begin = Math.max(begin, ends[before]);
-      }
-      ends[i] = begin + steps.get(i).estimateMillis();
-      chain = Math.max(chain, ends[i]);
-    }
-    final double objective = queue.stretch() * chain + queue.targetLatencyMillis();
+    final double objective = queue.stretch() * chainMillis + queue.targetLatencyMillis();
     return arrivedAt + (long) (objective * NANOS_PER_MILLI);
   }
 
@@ -287,6 +275,22 @@
     finishedMillis = wallMillis;
   }
 
+  /** Returns the longest time through steps that wait for earlier ones. */
+  private static long longestChain(
+      final List<StepSpec> steps, final IntToLongFunction durationMillis) {
+    long longest = 0;
+    final long[] ends = new long[steps.size()];
+    for (int i = 0; i < ends.length; i++) {
+      long begin = 0;
+      for (final int before : steps.get(i).after()) {
+        begin = Math.max(begin, ends[before]);
+      }
+      ends[i] = begin + durationMillis.applyAsLong(i);
+      longest = Math.max(longest, ends[i]);
+    }
+    return longest;
+  }
+
   private static void addProgress(final StepRun step, final List<StepProgress> kept) {
     final BitSet bits = new BitSet(step.tasks().size());
     final Map<Integer, Integer> failures = new HashMap<>();
--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -76,7 +76,7 @@
   private static int lastingRuns(final WorkerState worker) {
     int count = 0;
     for (final TaskRun run : worker.runs()) {
-      if (run.task().step().spec().longRunning()) {
+      if (run.isLasting()) {
         count++;
       }
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolLoads.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolLoads.java
@@ -94,7 +94,7 @@
       sum.capacity = sum.capacity.plus(worker.entry().capacity());
     }
     for (final TaskRun run : worker.runs()) {
-      if (run.task().step().spec().longRunning()) {
+      if (run.isLasting()) {
         sum.lasting = sum.lasting.plus(run.reserved());
       } else {
         sum.shortRunning = sum.shortRunning.plus(run.reserved());
@@ -118,7 +118,7 @@
     if (spec.longRunning()) {
       sum.minWorkers = Math.max(sum.minWorkers, workersOf(spec));
     } else {
-      sum.work += (double) step.left() * spec.estimateMillis() * spec.demand().cpuMillis() / 1000;
+      sum.work += step.workLeft();
     }
     for (final Task task : step.tasks()) {
       if (ready && task.isWaiting()) {
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -325,7 +325,7 @@
           && worker != null
           && worker.isSynced()
           && isMovable(machine, reserved)
-          && worker.runs().stream().allMatch(run -> isLasting(run))
+          && worker.runs().stream().allMatch(TaskRun::isLasting)
           && emptying.size() < MAX_EMPTYING
           && now - worker.knownAt() >= STAY_NANOS
           && hasTooMany(pool, machine, now, IDLE_NANOS)) {
@@ -334,10 +334,6 @@
     }
   }
 
-  private static boolean isLasting(final TaskRun run) {
-    return run.task().step().spec().longRunning();
-  }
-
   private String spare() {
     for (final ServiceSpec service : jobs.configuration().services()) {
       if (service.spare()) {
--- a/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
@@ -1,7 +1,6 @@
 package org.lentilsail.policy.job;
 
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 
 /**
@@ -48,18 +47,9 @@
    * Removes the workers whose lease has expired.
    *
    * @param now monotonic time in ns
-   * @return whether some worker was removed
    */
-  public boolean expire(final long now) {
-    boolean removed = false;
-    final Iterator<Pending> iterator = pending.values().iterator();
-    while (iterator.hasNext()) {
-      if (now >= iterator.next().expiresAt()) {
-        iterator.remove();
-        removed = true;
-      }
-    }
-    return removed;
+  public void expire(final long now) {
+    pending.values().removeIf(worker -> now >= worker.expiresAt());
   }
 
   /**
--- a/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
@@ -1,9 +1,8 @@
 package org.lentilsail.policy.job;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.lentilsail.model.job.JobState;
 
@@ -154,14 +153,14 @@
         worker.tookEnd(end.number());
       }
     }
-    final Map<TaskRun, Boolean> seen = new HashMap<>();
+    final Set<TaskRun> seen = new HashSet<>();
     for (final ListedRun entry : list.running()) {
       final TaskRun run = runningEntry(worker, entry, now);
       if (run != null) {
-        seen.put(run, true);
+        seen.add(run);
       }
     }
-    dropMissing(worker, seen.keySet(), sentAt, now);
+    dropMissing(worker, seen, sentAt, now);
     worker.synced();
     return mustKeep;
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
@@ -95,6 +95,15 @@
     return spec.count() - done;
   }
 
+  /**
+   * Returns the estimated work that is left.
+   *
+   * @return work in core-milliseconds
+   */
+  double workLeft() {
+    return (double) left() * spec.estimateMillis() * spec.demand().cpuMillis() / 1000;
+  }
+
   /**
    * Counts the tasks that run on a worker.
    *
--- a/policy/src/main/java/org/lentilsail/policy/job/StuckRuns.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/StuckRuns.java
@@ -32,7 +32,7 @@
           && now - run.idleSince() >= IDLE_NANOS
           && now - run.knownAt() >= START_NANOS
           && !run.task().step().spec().gang()
-          && !run.task().step().spec().longRunning()) {
+          && !run.isLasting()) {
         stuck.add(run);
       }
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
@@ -125,6 +125,11 @@
     return usage;
   }
 
+  /** Tells whether the run belongs to a task that runs until its job is cancelled. */
+  boolean isLasting() {
+    return task.step().spec().longRunning();
+  }
+
   Resources reserved() {
     return task.step().spec().reserved();
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -234,7 +234,7 @@
   /** Tells whether a run occupies the worker whose end would show whether the worker is sound. */
   private boolean hasShortRuns() {
     for (final TaskRun run : runs) {
-      if (!run.task().step().spec().longRunning()) {
+      if (!run.isLasting()) {
         return true;
       }
     }
