--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -139,59 +139,46 @@
 
   static StepSpec step(
       final int count, final int cpu, final long estimate, final Integer... after) {
-    return new StepSpec(
-        count,
-        new Resources(cpu, 1_000, 0),
-        estimate,
-        List.of(after),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
+    return shortStep(count, cpu, estimate, List.of(after), false);
+  }
+
+  /** A step whose tasks may have copies. */
+  static StepSpec speculative(final int count) {
+    return shortStep(count, 1_000, 1_000, List.of(), true);
   }
 
   static StepSpec lasting(final int count, final int maxPerWorker, final int mayMiss) {
-    return new StepSpec(
-        count,
-        new Resources(6_000, 20_000, 0),
-        0,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        maxPerWorker,
-        false,
-        true,
-        "image",
-        0,
-        false,
-        mayMiss);
+    return lastingStep(count, 20_000, maxPerWorker, "image", 0, false, mayMiss);
   }
 
-  /** A step whose tasks may have copies. */
-  static StepSpec speculative(final int count) {
+  /** A task that serves with a target for its tail response time in ms. */
+  static StepSpec serving(final long targetMillis) {
+    return lastingStep(1, 1_000, 0, "serving", targetMillis, false, 1);
+  }
+
+  /** A task that uses the processor that others leave. */
+  static StepSpec filling() {
+    return lastingStep(1, 1_000, 0, "filling", 0, true, 1);
+  }
+
+  private static StepSpec shortStep(
+      final int count,
+      final int cpu,
+      final long estimate,
+      final List<Integer> after,
+      final boolean speculative) {
     return new StepSpec(
         count,
-        new Resources(1_000, 1_000, 0),
-        1_000,
-        List.of(),
+        new Resources(cpu, 1_000, 0),
+        estimate,
+        after,
         false,
         false,
         false,
         "",
         "",
         0,
-        true,
+        speculative,
         false,
         "",
         0,
@@ -199,20 +186,17 @@
         0);
   }
 
-  /** A task that serves with a target for its tail response time in ms. */
-  static StepSpec serving(final long targetMillis) {
-    return image("serving", targetMillis, false);
-  }
-
-  /** A task that uses the processor that others leave. */
-  static StepSpec filling() {
-    return image("filling", 0, true);
-  }
-
-  private static StepSpec image(final String image, final long targetMillis, final boolean fills) {
+  private static StepSpec lastingStep(
+      final int count,
+      final int memoryMb,
+      final int maxPerWorker,
+      final String image,
+      final long targetMillis,
+      final boolean fills,
+      final int mayMiss) {
     return new StepSpec(
-        1,
-        new Resources(6_000, 1_000, 0),
+        count,
+        new Resources(6_000, memoryMb, 0),
         0,
         List.of(),
         false,
@@ -220,13 +204,13 @@
         false,
         "",
         "",
-        0,
+        maxPerWorker,
         false,
         true,
         image,
         targetMillis,
         fills,
-        1);
+        mayMiss);
   }
 
   private static QueueSpec queue(final String name, final String service, final int priority) {
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -150,65 +150,39 @@
   }
 
   static StepSpec step(final int count, final Integer... after) {
-    return new StepSpec(
-        count,
-        new Resources(1_000, 100, 0),
-        300,
-        List.of(after),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
+    return spec(count, List.of(after), false, false);
   }
 
   /** A step whose tasks run until the job is cancelled. */
   static StepSpec lasting(final int count) {
-    return new StepSpec(
-        count,
-        new Resources(1_000, 100, 0),
-        300,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        1,
-        false,
-        true,
-        "",
-        0,
-        false,
-        1);
+    return spec(count, List.of(), false, true);
   }
 
   /** A step whose tasks only work together. */
   static StepSpec gang(final int count) {
+    return spec(count, List.of(), true, false);
+  }
+
+  private static StepSpec spec(
+      final int count, final List<Integer> after, final boolean gang, final boolean lasting) {
+    final int limit = lasting ? 1 : 0;
     return new StepSpec(
         count,
         new Resources(1_000, 100, 0),
         300,
-        List.of(),
+        after,
         false,
-        true,
+        gang,
         false,
         "",
         "",
-        0,
-        false,
+        limit,
         false,
+        lasting,
         "",
         0,
         false,
-        0);
+        limit);
   }
 
   /** Items of this deployment name what they hold. */
