--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -40,7 +40,6 @@
   private final SessionEvents events;
   private final WorkerOrders orders;
   private final HolderItems items;
-  private long endsKept;
   private boolean keeping;
   private boolean closed;
   private int looks;
@@ -95,12 +94,12 @@
       worker.leaseUntil(until);
     }
     final long wait =
-        !known || keeping || worker.endsSeen() > endsKept
+        !known || keeping || worker.endsSeen() > worker.endsKept()
             ? 0
             : worker.runs().isEmpty() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
     parts
         .workers()
-        .look(worker.entry(), new LookOrder(until, token(), endsKept, wait))
+        .look(worker.entry(), new LookOrder(until, token(), worker.endsKept(), wait))
         .whenCompleteAsync(
             logged((reply, failure) -> guarded(() -> looked(turn, reply, sentAt))),
             parts.executor());
@@ -131,7 +130,6 @@
   /** Forgets the ends of an earlier life of the worker. */
   private void startAnew(final long now) {
     ledger.startedAnew(worker, now);
-    endsKept = 0;
     keeping = false;
   }
 
@@ -199,7 +197,7 @@
       final long seen = worker.endsSeen();
       events.whenKept(() -> kept(seen));
     } else if (!keeping) {
-      endsKept = worker.endsSeen();
+      worker.endsKept(worker.endsSeen());
     }
     check(now);
     if (worker.endsSeen() > endsBefore || !wasAnswering) {
@@ -245,8 +243,8 @@
     if (closed) {
       return;
     }
-    endsKept = Math.max(endsKept, seen);
-    keeping = worker.endsSeen() > endsKept;
+    worker.endsKept(seen);
+    keeping = worker.endsSeen() > worker.endsKept();
     if (!keeping) {
       look();
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/Evacuation.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Evacuation.java
@@ -37,7 +37,7 @@
    * @param worker the worker to be emptied
    * @param since monotonic time in ns at which it got its last work
    * @param now monotonic time in ns
-   * @return whether nothing occupies the worker any more
+   * @return whether the worker may be ended
    */
   public boolean advance(final WorkerState worker, final long since, final long now) {
     for (final TaskRun run : List.copyOf(worker.runs())) {
@@ -45,7 +45,7 @@
         advanceRun(run, now - since, now);
       }
     }
-    return worker.runs().isEmpty();
+    return worker.isEmpty();
   }
 
   private void advanceRun(final TaskRun run, final long elapsed, final long now) {
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -247,7 +247,7 @@
     }
     final Move move = new Move(machine, pool == null ? spare() : pool.name, now);
     final WorkerState worker = fleet.worker(machine.worker());
-    if (worker == null || worker.runs().isEmpty()) {
+    if (worker == null || worker.isEmpty()) {
       if (worker != null) {
         worker.cordoned(true);
       }
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -20,6 +20,7 @@
   private boolean cordoned;
   private long leaseUntil;
   private long endsSeen;
+  private long endsKept;
   private long noRoomUntil = Long.MIN_VALUE;
   private Resources reserved = Resources.NONE;
 
@@ -196,6 +197,34 @@
     return endsSeen;
   }
 
+  /**
+   * Returns the number of the last end whose effect is kept in the store.
+   *
+   * @return the number, 0 before the first one
+   */
+  public long endsKept() {
+    return endsKept;
+  }
+
+  /**
+   * Records that the effect of ends is kept in the store.
+   *
+   * @param number number of the last of them
+   */
+  public void endsKept(final long number) {
+    endsKept = Math.max(endsKept, number);
+  }
+
+  /**
+   * Tells whether ending the worker loses nothing. An end that is not kept is forgotten with its
+   * worker when control changes, and its task would run again.
+   *
+   * @return whether nothing runs on it and all its ends are kept
+   */
+  public boolean isEmpty() {
+    return runs.isEmpty() && endsKept >= endsSeen;
+  }
+
   /**
    * Records that the worker rejected a start for want of room.
    *
@@ -279,6 +308,7 @@
     clock.reset();
     leaseUntil = 0;
     endsSeen = 0;
+    endsKept = 0;
     synced = false;
   }
 }
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -123,8 +123,14 @@
     return starts;
   }
 
-  /** Ends a run as its worker lists it. */
+  /** Ends a run as its worker lists it; the end is kept. */
   void end(final TaskRun run, final RunEnd how, final long now) {
+    endWithoutKeeping(run, how, now);
+    run.worker().endsKept(run.worker().endsSeen());
+  }
+
+  /** Ends a run as its worker lists it while the store does not answer. */
+  void endWithoutKeeping(final TaskRun run, final RunEnd how, final long now) {
     final WorkerState worker = run.worker();
     final ListedEnd end =
         new ListedEnd(worker.endsSeen() + 1, run.task().id(), run.number(), how, "");
--- a/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
@@ -52,6 +52,17 @@
     return Set.copyOf(done);
   }
 
+  /**
+   * Returns the jobs of which a task has started.
+   *
+   * @return ids of the jobs
+   */
+  public Set<String> startedJobs() {
+    final Set<String> jobs = new HashSet<>();
+    starts.keySet().forEach(task -> jobs.add(task.job()));
+    return jobs;
+  }
+
   /**
    * Counts the starts of all tasks of a job.
    *
--- a/system/src/main/java/org/lentilsail/system/Await.java
+++ b/standin/src/main/java/org/lentilsail/standin/process/Await.java
@@ -1,10 +1,10 @@
-package org.lentilsail.system;
+package org.lentilsail.standin.process;
 
 import java.time.Duration;
 import java.util.concurrent.Callable;
 
 /** Waits for conditions with a bound. */
-final class Await {
+public final class Await {
   /** Time in ms between two looks at a condition. */
   private static final int STEP_MILLIS = 20;
 
@@ -19,7 +19,8 @@
    * @return time in ms that it took
    * @throws InterruptedException when the waiting thread is interrupted
    */
-  static long until(final String what, final Duration limit, final Callable<Boolean> condition)
+  public static long until(
+      final String what, final Duration limit, final Callable<Boolean> condition)
       throws InterruptedException {
     final long start = System.nanoTime();
     Exception last = null;
--- a/system/src/main/java/org/lentilsail/system/ChildProcess.java
+++ b/standin/src/main/java/org/lentilsail/standin/process/ChildProcess.java
@@ -1,4 +1,4 @@
-package org.lentilsail.system;
+package org.lentilsail.standin.process;
 
 import java.io.File;
 import java.io.IOException;
@@ -7,10 +7,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** A Java program that runs as a process of its own and writes its output to a file. */
-final class ChildProcess implements AutoCloseable {
+public final class ChildProcess implements AutoCloseable {
   /** Time in s that a process gets to end after SIGTERM. */
   private static final int STOP_SECONDS = 20;
 
@@ -43,13 +44,36 @@
    * @return the running process
    * @throws IOException when it cannot be started
    */
-  static ChildProcess start(
+  public static ChildProcess start(
       final String name,
       final Path directory,
       final String mainClass,
       final int heapMegabytes,
       final List<String> args)
       throws IOException {
+    return start(name, directory, mainClass, heapMegabytes, args, Map.of());
+  }
+
+  /**
+   * Starts a main class with the class path of this process and further environment variables.
+   *
+   * @param name name for messages and for the output file
+   * @param directory directory of the output file
+   * @param mainClass name of the main class
+   * @param heapMegabytes largest heap in MB
+   * @param args arguments of the program
+   * @param environment variables beside those of this process
+   * @return the running process
+   * @throws IOException when it cannot be started
+   */
+  public static ChildProcess start(
+      final String name,
+      final Path directory,
+      final String mainClass,
+      final int heapMegabytes,
+      final List<String> args,
+      final Map<String, String> environment)
+      throws IOException {
     final List<String> command = new ArrayList<>();
     command.add(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java");
     command.add("-Xmx" + heapMegabytes + "m");
@@ -59,12 +83,12 @@
     command.add(mainClass);
     command.addAll(args);
     final Path output = directory.resolve(name + ".out");
-    final Process process =
+    final ProcessBuilder builder =
         new ProcessBuilder(command)
             .redirectErrorStream(true)
-            .redirectOutput(Redirect.appendTo(output.toFile()))
-            .start();
-    return new ChildProcess(name, output, process);
+            .redirectOutput(Redirect.appendTo(output.toFile()));
+    builder.environment().putAll(environment);
+    return new ChildProcess(name, output, builder.start());
   }
 
   /**
@@ -72,7 +96,7 @@
    *
    * @return the id
    */
-  long pid() {
+  public long pid() {
     return process.pid();
   }
 
@@ -81,28 +105,28 @@
    *
    * @return false after its end
    */
-  boolean isAlive() {
+  public boolean isAlive() {
     return process.isAlive();
   }
 
   /** Ends the process at once, as a failure of its VM would. */
-  void kill() throws InterruptedException {
+  public void kill() throws InterruptedException {
     process.destroyForcibly();
     process.waitFor();
   }
 
   /** Stops the process without its noticing, until it is resumed. */
-  void freeze() throws IOException, InterruptedException {
+  public void freeze() throws IOException, InterruptedException {
     signal("STOP");
   }
 
   /** Lets a frozen process go on. */
-  void resume() throws IOException, InterruptedException {
+  public void resume() throws IOException, InterruptedException {
     signal("CONT");
   }
 
   /** Asks the process to stop, as an operator or the platform would. */
-  void terminate() {
+  public void terminate() {
     process.destroy();
   }
 
@@ -112,7 +136,7 @@
    * @return the exit code
    * @throws InterruptedException when the waiting thread is interrupted
    */
-  int stop() throws InterruptedException {
+  public int stop() throws InterruptedException {
     terminate();
     return await(STOP_SECONDS);
   }
@@ -124,7 +148,7 @@
    * @return the exit code
    * @throws InterruptedException when the waiting thread is interrupted
    */
-  int await(final int seconds) throws InterruptedException {
+  public int await(final int seconds) throws InterruptedException {
     if (!process.waitFor(seconds, TimeUnit.SECONDS)) {
       kill();
       throw new IllegalStateException(
@@ -139,7 +163,7 @@
    * @return the output
    * @throws IOException when it cannot be read
    */
-  String output() throws IOException {
+  public String output() throws IOException {
     return Files.readString(output);
   }
 
--- a/system/src/main/java/org/lentilsail/system/FreePorts.java
+++ b/standin/src/main/java/org/lentilsail/standin/process/FreePorts.java
@@ -1,4 +1,4 @@
-package org.lentilsail.system;
+package org.lentilsail.standin.process;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -9,7 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 /** Finds free ports on the loopback address. */
-final class FreePorts {
+public final class FreePorts {
   /**
    * Lowest port that is tried. All ports lie below the range that Linux gives to outgoing
    * connections, which could take a port between the search and the start of the process.
@@ -30,7 +30,7 @@
    * @param count how many
    * @return the ports, all different
    */
-  static List<Integer> find(final int count) {
+  public static List<Integer> find(final int count) {
     final Set<Integer> result = new LinkedHashSet<>();
     for (int i = 0; i < MAX_TRIES && result.size() < count; i++) {
       final int port = ThreadLocalRandom.current().nextInt(LOWEST, LIMIT);
--- a/system/src/main/java/org/lentilsail/system/LinkRelay.java
+++ b/standin/src/main/java/org/lentilsail/standin/process/LinkRelay.java
@@ -1,4 +1,4 @@
-package org.lentilsail.system;
+package org.lentilsail.standin.process;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -11,10 +11,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Carries TCP connections from one process to another and can be cut: while it is cut, bytes stay
- * where they are, as in a network that drops packets, and new connections get no answer.
+ * Carries TCP connections from one process to another and can be cut, also in one direction: while
+ * it is cut, bytes stay where they are, as in a network that drops packets, and new connections get
+ * no answer. It can also delay bytes and reset its connections.
  */
-final class LinkRelay implements AutoCloseable {
+public final class LinkRelay implements AutoCloseable {
   /** Size in bytes of one read. */
   private static final int READ_BYTES = 64 * 1024;
 
@@ -30,8 +31,14 @@
   /** Open sockets of both sides. */
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
-  /** Whether the link is cut; guarded by this. */
-  private boolean cut;
+  /** Whether bytes to the target are held back; guarded by this. */
+  private boolean cutThere;
+
+  /** Whether bytes from the target are held back; guarded by this. */
+  private boolean cutBack;
+
+  /** Delay in ms of each read; guarded by this. */
+  private long delayMillis;
 
   /**
    * Starts a relay.
@@ -39,7 +46,7 @@
    * @param targetPort port of the target on the loopback address
    * @throws IOException when no port can be bound
    */
-  LinkRelay(final int targetPort) throws IOException {
+  public LinkRelay(final int targetPort) throws IOException {
     this.targetPort = targetPort;
     this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     start("relay-accept", this::accept);
@@ -50,7 +57,7 @@
    *
    * @return the port on the loopback address
    */
-  int port() {
+  public int port() {
     return listener.getLocalPort();
   }
 
@@ -60,14 +67,39 @@
    *
    * @param isCut whether the link is cut
    */
-  synchronized void cut(final boolean isCut) {
-    cut = isCut;
-    if (!isCut) {
+  public void cut(final boolean isCut) {
+    cut(isCut, isCut);
+  }
+
+  /**
+   * Cuts or restores each direction of the link.
+   *
+   * @param there whether bytes to the target are held back
+   * @param back whether bytes from the target are held back
+   */
+  public synchronized void cut(final boolean there, final boolean back) {
+    cutThere = there;
+    cutBack = back;
+    if (!there && !back) {
       closeSockets();
     }
     notifyAll();
   }
 
+  /**
+   * Delays all bytes.
+   *
+   * @param millis delay in ms, 0 for none
+   */
+  public synchronized void delay(final long millis) {
+    delayMillis = millis;
+  }
+
+  /** Closes all open connections. */
+  public void reset() {
+    closeSockets();
+  }
+
   @Override
   public void close() throws IOException {
     listener.close();
@@ -75,12 +107,16 @@
     cut(false);
   }
 
-  private synchronized void awaitLink() throws InterruptedException {
-    while (cut) {
+  private synchronized void awaitLink(final boolean there) throws InterruptedException {
+    while (there ? cutThere : cutBack) {
       wait();
     }
   }
 
+  private synchronized long delay() {
+    return delayMillis;
+  }
+
   private void closeSockets() {
     sockets.forEach(LinkRelay::closeQuietly);
     sockets.clear();
@@ -100,15 +136,15 @@
 
   private void open(final Socket source) {
     try {
-      awaitLink();
+      awaitLink(true);
       final Socket target = new Socket();
       sockets.add(target);
       target.connect(
           new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort), CONNECT_MILLIS);
       target.setTcpNoDelay(true);
       source.setTcpNoDelay(true);
-      start("relay-out", () -> copy(source, target));
-      copy(target, source);
+      start("relay-out", () -> copy(source, target, true));
+      copy(target, source, false);
     } catch (final IOException error) {
       closeQuietly(source);
     } catch (final InterruptedException interrupted) {
@@ -116,14 +152,15 @@
     }
   }
 
-  private void copy(final Socket from, final Socket to) {
+  private void copy(final Socket from, final Socket to, final boolean there) {
     try {
       final InputStream input = from.getInputStream();
       final OutputStream output = to.getOutputStream();
       final byte[] buffer = new byte[READ_BYTES];
       int count = input.read(buffer);
       while (count >= 0) {
-        awaitLink();
+        Thread.sleep(delay());
+        awaitLink(there);
         output.write(buffer, 0, count);
         output.flush();
         count = input.read(buffer);
--- a/system/src/main/java/org/lentilsail/system/FleetAddresses.java
+++ b/system/src/main/java/org/lentilsail/system/FleetAddresses.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import org.lentilsail.standin.process.FreePorts;
 
 /**
  * Ports of all processes of a deployment on the loopback address.
--- a/system/src/main/java/org/lentilsail/system/FleetLinks.java
+++ b/system/src/main/java/org/lentilsail/system/FleetLinks.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import org.lentilsail.standin.process.LinkRelay;
 
 /** The links between entry daemons and to the platform, which tests can cut. */
 final class FleetLinks implements AutoCloseable {
--- a/system/src/main/java/org/lentilsail/system/LocalFleet.java
+++ b/system/src/main/java/org/lentilsail/system/LocalFleet.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
+import org.lentilsail.standin.process.Await;
+import org.lentilsail.standin.process.ChildProcess;
 
 /** Runs a whole deployment as processes on the loopback address. */
 final class LocalFleet implements AutoCloseable {
--- a/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
+++ b/system/src/main/java/org/lentilsail/system/QuickstartCommand.java
@@ -10,6 +10,7 @@
 import java.util.regex.Pattern;
 import org.lentilsail.http.HttpField;
 import org.lentilsail.http.HttpResponse;
+import org.lentilsail.standin.process.Await;
 
 /** Shows the whole path: starts a small deployment, serves requests and runs a maintenance wave. */
 final class QuickstartCommand implements SystemCommand {
--- a/system/src/main/java/org/lentilsail/system/SampleRecords.java
+++ b/system/src/main/java/org/lentilsail/system/SampleRecords.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import org.lentilsail.standin.process.Await;
 
 /** The records of the small deployment, as an operator would apply them. */
 final class SampleRecords {
--- a/system/src/test/java/org/lentilsail/system/AcceptedConfigurationTest.java
+++ b/system/src/test/java/org/lentilsail/system/AcceptedConfigurationTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.lentilsail.http.HttpResponse;
+import org.lentilsail.standin.process.Await;
 
 /** Guards P8: an accepted configuration is in force everywhere in time and never reverts. */
 class AcceptedConfigurationTest {
--- a/system/src/test/java/org/lentilsail/system/AtMostOnceTest.java
+++ b/system/src/test/java/org/lentilsail/system/AtMostOnceTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.lentilsail.standin.load.Judge;
 import org.lentilsail.standin.load.Try;
+import org.lentilsail.standin.process.Await;
 
 /** Guards P5 on real processes: a keyed request runs at most once whatever fails meanwhile. */
 class AtMostOnceTest {
--- a/system/src/test/java/org/lentilsail/system/GuardedFleet.java
+++ b/system/src/test/java/org/lentilsail/system/GuardedFleet.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.lentilsail.standin.process.Await;
 
 /** A small deployment under load whose end checks what callers and backends have seen. */
 final class GuardedFleet implements AutoCloseable {
--- a/system/src/test/java/org/lentilsail/system/LeavingVmTest.java
+++ b/system/src/test/java/org/lentilsail/system/LeavingVmTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.lentilsail.http.HttpField;
 import org.lentilsail.http.HttpResponse;
+import org.lentilsail.standin.process.Await;
 
 /** Guards P6 and P7: a VM that leaves gets no new work after 3 s, and its running work ends. */
 class LeavingVmTest {
