Leave control to stronger daemons and give large bodies a time of their own

For 24 s nobody held control.

Change: a daemon that has seen a stronger holder waits 150 ms before it claims; a stronger daemon offers after 1.5 s to take over from a weaker one, which then ends its lease and keeps its work running. The body of a store's answer has 4 s of its own once it has begun.

--- a/library/src/main/java/org/lentilsail/http/CallInProgress.java
+++ b/library/src/main/java/org/lentilsail/http/CallInProgress.java
@@ -4,6 +4,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -31,6 +32,9 @@
   /** The connection in use, null before there is one. */
   private final AtomicReference<ClientConnection> connection = new AtomicReference<>();
 
+  /** Ends the call when its time is over. */
+  private final AtomicReference<XnioExecutor.Key> timer = new AtomicReference<>();
+
   /** Whether any byte of the request may have been written; guarded by this. */
   private boolean written;
 
@@ -53,7 +57,8 @@
     return response;
   }
 
-  void limitTime(final XnioIoThread thread) {
+  /** Limits the time to the response; what is left of the former limit no longer counts. */
+  void limitTime(final XnioIoThread thread, final Duration limit) {
     final XnioExecutor.Key key =
         thread.executeAfter(
             () ->
@@ -62,11 +67,16 @@
                     "no complete response from "
                         + call.target()
                         + " within "
-                        + call.timeout().toMillis()
+                        + limit.toMillis()
                         + " ms"),
-            call.timeout().toMillis(),
+            limit.toMillis(),
             TimeUnit.MILLISECONDS);
-    response.whenComplete((result, failure) -> key.remove());
+    final XnioExecutor.Key former = timer.getAndSet(key);
+    if (former == null) {
+      response.whenComplete((result, failure) -> timer.get().remove());
+    } else {
+      former.remove();
+    }
   }
 
   void send(final ClientConnection target) {
@@ -126,6 +136,9 @@
     return new ClientCallback<>() {
       @Override
       public void completed(final ClientExchange exchange) {
+        if (!call.bodyTimeout().isZero()) {
+          limitTime(exchange.getConnection().getIoThread(), call.bodyTimeout());
+        }
         new ResponseBodyReader(
                 exchange, call, complete -> succeed(exchange, complete), CallInProgress.this::fail)
             .start();
--- a/library/src/main/java/org/lentilsail/jobs/Documents.java
+++ b/library/src/main/java/org/lentilsail/jobs/Documents.java
@@ -30,6 +30,9 @@
   /** Reads the last term. */
   static final ObjectReader TERM = MAPPER.readerFor(TermDocument.class);
 
+  /** Reads the offer of a stronger daemon. */
+  static final ObjectReader OFFER = MAPPER.readerFor(OfferDocument.class);
+
   /** Reads the workers that may have been given work. */
   static final ObjectReader ROSTER = MAPPER.readerFor(RosterDocument.class);
 
--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -40,6 +40,9 @@
   /** Pause in ms before a failed claim is repeated. */
   private static final long CLAIM_RETRY_MILLIS = 120;
 
+  /** Time in ms for which a weaker daemon holds control before a stronger one offers to. */
+  private static final long OFFER_MILLIS = 1_500;
+
   /** Least time between two watches. */
   private static final Duration WATCH_INTERVAL = Duration.ofMillis(5);
 
@@ -50,6 +53,7 @@
   private final DecisionLog log;
   private final HolderLease lease;
   private final TermListener listener;
+  private final Strength strength;
   private final PrefixFollower follower;
   private final long createdAt;
   private boolean loaded;
@@ -67,8 +71,10 @@
       final TimeSource time,
       final DecisionLog log,
       final Duration timeToLive,
+      final Strength strength,
       final TermListener listener) {
     this.store = store;
+    this.strength = strength;
     this.daemon = daemon;
     this.executor = executor;
     this.time = time;
@@ -134,7 +140,8 @@
 
   private long claimPause() {
     final double seconds = (time.nanos() - createdAt) / 1e9;
-    return ThreadLocalRandom.current().nextInt(CLAIM_SPREAD_MILLIS)
+    return strength.claimPauseMillis()
+        + ThreadLocalRandom.current().nextInt(CLAIM_SPREAD_MILLIS)
         + Math.min((long) (seconds * CLAIM_MILLIS_PER_SECOND), CLAIM_AGE_MILLIS);
   }
 
@@ -144,15 +151,61 @@
     } else if (key.equals(StoreKeys.TERM) && item.isPresent()) {
       Documents.<TermDocument>read(Documents.TERM, item.get())
           .ifPresent(document -> term(document, item.get().revision()));
+    } else if (key.equals(StoreKeys.OFFER) && item.isPresent()) {
+      Documents.<OfferDocument>read(Documents.OFFER, item.get()).ifPresent(this::offered);
+    }
+  }
+
+  /** Leaves control to a stronger daemon; this one claims it again when the other one does not. */
+  private void offered(final OfferDocument offer) {
+    strength.seen(offer.processor());
+    if (own != null && offer.term() == own.number() && strength.isWeakerThan(offer.processor())) {
+      log.log("control-handed-over", "term", own.number(), "to", offer.daemon());
+      own = null;
+      listener.deposed();
+      lease.end();
     }
   }
 
+  /** Offers to take control over when a weaker daemon has held it for some time. */
+  private void considerOffer(final TermDocument document) {
+    if (strength.isStrongerThan(document.processor())) {
+      executor.schedule(() -> offer(document), OFFER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void offer(final TermDocument document) {
+    if (knownTerm != document.term() || !holderPresent || resigned) {
+      return;
+    }
+    final OfferDocument offer = new OfferDocument(document.term(), daemon, strength.own());
+    store
+        .commit(
+            Commit.empty()
+                .when(StoreKeys.TERM, termRevision)
+                .write(StoreKeys.OFFER, Documents.write(offer), 0))
+        .whenComplete(
+            (result, failure) ->
+                log.log(
+                    "control-offered",
+                    "term",
+                    document.term(),
+                    "holder",
+                    document.holder(),
+                    "outcome",
+                    failure == null ? "applied=" + result.applied() : failure.getMessage()));
+  }
+
   private void term(final TermDocument document, final long revision) {
     if (document.term() < knownTerm) {
       return;
     }
+    if (document.term() > knownTerm) {
+      considerOffer(document);
+    }
     knownTerm = document.term();
     termRevision = revision;
+    strength.seen(document.processor());
     if (own != null && document.term() > own.number()) {
       depose("daemon " + document.holder() + " has claimed term " + document.term());
     }
@@ -195,12 +248,13 @@
   private void commitClaim(final GrantedLease granted, final long sentAt) {
     final long number = knownTerm + 1;
     final String mark = daemon + '/' + granted.id();
+    final TermDocument document = new TermDocument(number, daemon, strength.own());
     final Commit commit =
         Commit.empty()
             .when(StoreKeys.HOLDER, 0)
             .when(StoreKeys.TERM, termRevision)
             .write(StoreKeys.HOLDER, mark.getBytes(StandardCharsets.UTF_8), granted.id())
-            .write(StoreKeys.TERM, Documents.write(new TermDocument(number, daemon)), 0);
+            .write(StoreKeys.TERM, Documents.write(document), 0);
     store
         .commit(commit)
         .whenCompleteAsync(
--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -37,15 +37,23 @@
    *
    * @param parts what control needs
    * @param daemon id of this daemon
+   * @param processor processor of its VM in thousandths of a core
    */
-  public JobNode(final ControlParts parts, final String daemon) {
+  public JobNode(final ControlParts parts, final String daemon, final long processor) {
     this.parts = parts;
     this.availability = new StoreAvailability(parts.time());
     this.gate =
         new JobGate(parts.store(), parts.executor(), parts.log(), parts.time(), availability);
     this.election =
         new Election(
-            parts.store(), daemon, parts.executor(), parts.time(), parts.log(), HOLDER_LEASE, this);
+            parts.store(),
+            daemon,
+            parts.executor(),
+            parts.time(),
+            parts.log(),
+            HOLDER_LEASE,
+            new Strength(processor),
+            this);
     this.operators =
         new PrefixFollower(
             parts.store(),
--- a/library/src/main/java/org/lentilsail/jobs/StoreKeys.java
+++ b/library/src/main/java/org/lentilsail/jobs/StoreKeys.java
@@ -17,6 +17,9 @@
   /** The last term; never removed. */
   static final String TERM = "lead/term";
 
+  /** Offer of a stronger daemon to take control over. */
+  static final String OFFER = "lead/offer";
+
   /** Workers that may have been given work. */
   static final String ROSTER = "roster";
 
--- a/library/src/main/java/org/lentilsail/jobs/TermDocument.java
+++ b/library/src/main/java/org/lentilsail/jobs/TermDocument.java
@@ -5,5 +5,6 @@
  *
  * @param term number of the term; the fencing token of all its orders
  * @param holder id of the daemon that holds it
+ * @param processor processor of the holder's VM in thousandths of a core
  */
-record TermDocument(long term, String holder) {}
+record TermDocument(long term, String holder, long processor) {}
--- a/policy/src/test/java/org/lentilsail/policy/job/EvacuationTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/EvacuationTest.java
@@ -30,9 +30,7 @@
     }
     fixture.list(0);
     fixture.submit("holds", 0, step(WORKERS, JobFixture.CORES, 900));
-    fixture
-        .place(0)
-        .forEach(start -> fixture.endWithoutKeeping(start.run(), RunEnd.DONE, SECOND));
+    fixture.place(0).forEach(start -> fixture.endWithoutKeeping(start.run(), RunEnd.DONE, SECOND));
   }
 
   @Test
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -65,8 +65,13 @@
     store.put("op/config", "configuration".getBytes(StandardCharsets.UTF_8));
   }
 
-  /** Starts a daemon. */
+  /** Starts a daemon on a VM of the usual size. */
   JobNode startNode(final String daemon) {
+    return startNode(daemon, 750);
+  }
+
+  /** Starts a daemon on a VM with so much processor, in thousandths of a core. */
+  JobNode startNode(final String daemon, final long processor) {
     final DecisionLog log = new DecisionLog(time, new PrintStream(OutputStream.nullOutputStream()));
     logs.add(log);
     final JobNode node =
@@ -81,7 +86,8 @@
                 log,
                 new JobMetrics(new PrometheusRegistry()),
                 new ControlBounds(MAX_LEASE_MILLIS, 2_000, 1_500, 120_000, 3_000)),
-            daemon);
+            daemon,
+            processor);
     nodes.put(daemon, node);
     node.start();
     return node;
