Ask the advice service for permits of steps of advised queues

Change: AdvicePlanner names few workers for the most urgent step, ahead for later steps; StepPermits keeps answers, which do not change, and permits, which expire; starts carry the permit.

--- a/library/src/main/java/org/lentilsail/jobs/ControlParts.java
+++ b/library/src/main/java/org/lentilsail/jobs/ControlParts.java
@@ -4,6 +4,7 @@
 import org.lentilsail.log.DecisionLog;
 import org.lentilsail.model.time.TimeSource;
 import org.lentilsail.store.KeyValueStore;
+import org.lentilsail.worker.AdviceClient;
 import org.lentilsail.worker.MachineClient;
 import org.lentilsail.worker.WorkerClient;
 
@@ -13,6 +14,7 @@
  * @param store the store
  * @param workers gives orders to workers
  * @param machines gives orders about machines
+ * @param advice asks which workers may run the steps of an advised queue
  * @param documents reads what operators and workers write into the store
  * @param executor control thread
  * @param time clock
@@ -24,6 +26,7 @@
     KeyValueStore store,
     WorkerClient workers,
     MachineClient machines,
+    AdviceClient advice,
     FleetDocuments documents,
     ScheduledExecutorService executor,
     TimeSource time,
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.lentilsail.model.job.JobConfiguration;
 import org.lentilsail.model.job.WaveRequest;
+import org.lentilsail.policy.job.AdvicePlanner;
 import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.JobBook;
 import org.lentilsail.policy.job.RecoveryGate;
@@ -50,6 +51,7 @@
   private final RunLedger ledger;
   private final Scheduler scheduler;
   private final MachineControl machines;
+  private final AdviceRunner advice;
   private final Housekeeping housekeeping;
   private final long claimedAt;
   private Term term;
@@ -72,6 +74,7 @@
     items = new HolderItems(term);
     ledger = new RunLedger(jobs, new RunNumbers(term.number()));
     scheduler = new Scheduler(jobs, fleet, ledger, gate);
+    advice = new AdviceRunner(parts, new AdvicePlanner(jobs, fleet, gate), this::changed);
     writer = new ProgressWriter(parts, jobs, items, election::superseded);
     workers =
         new HolderWorkers(
@@ -260,7 +263,9 @@
     }
     try {
       if (isSure()) {
-        scheduler.place(parts.time().nanos()).forEach(workers::send);
+        final long now = parts.time().nanos();
+        scheduler.place(now).forEach(workers::send);
+        advice.ask(now);
       }
       ledger.takeOrders().forEach(workers::send);
       writer.flush();
--- a/library/src/main/java/org/lentilsail/jobs/WorkerOrders.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerOrders.java
@@ -115,7 +115,7 @@
                 until,
                 session.token(),
                 run.task().checkpoint(),
-                ""));
+                run.task().step().permits().valid(worker, now)));
   }
 
   private void answered(final Order order, final OrderReply reply) {
@@ -147,6 +147,10 @@
         ledger.lost(worker, now);
         events.gone(worker);
       }
+      case NO_PERMIT -> {
+        run.task().step().permits().rejected(worker.id());
+        ledger.notStarted(run, now);
+      }
       default -> {
         refused(reply.answer(), now);
         ledger.notStarted(run, now);
--- a/policy/src/main/java/org/lentilsail/policy/job/GangPlacement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/GangPlacement.java
@@ -22,7 +22,9 @@
   static List<WorkerState> choose(
       final StepRun step, final List<WorkerState> candidates, final long now) {
     final List<WorkerState> usable =
-        candidates.stream().filter(worker -> worker.isUsable(now)).toList();
+        candidates.stream()
+            .filter(worker -> worker.isUsable(now) && step.isPermitted(worker, now))
+            .toList();
     if (!step.spec().sameRack()) {
       return fill(step, usable);
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -46,6 +46,7 @@
   private static boolean isAllowed(final Task task, final WorkerState worker, final long now) {
     return worker.isUsable(now)
         && fits(task.step(), worker)
+        && task.step().isPermitted(worker, now)
         && worker.free().cpuMillis() >= task.step().spec().reserved().cpuMillis()
         && !repeatsFailure(task, worker);
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -86,7 +86,7 @@
         continue;
       }
       for (final StepRun step : job.steps()) {
-        if (!step.isDone() && job.isReady(step) && hasWaiting(step)) {
+        if (!step.isDone() && job.isReady(step) && step.hasWaiting()) {
           ranks.add(JobOrder.rank(step, now));
         }
       }
@@ -95,15 +95,6 @@
     return ranks;
   }
 
-  private static boolean hasWaiting(final StepRun step) {
-    for (final Task task : step.tasks()) {
-      if (task.isWaiting()) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private void placeTasks(
       final StepRun step,
       final List<WorkerState> candidates,
--- a/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
@@ -13,6 +13,7 @@
   private final StepSpec spec;
   private final List<Task> tasks;
   private int done;
+  private final StepPermits permits = new StepPermits();
   private int measured;
   private long measuredNanos;
 
@@ -95,6 +96,51 @@
     return spec.count() - done;
   }
 
+  /**
+   * Returns the name of the step.
+   *
+   * @return job, occurrence and number, separated by points
+   */
+  public String name() {
+    return job.id() + '.' + occurrence + '.' + number;
+  }
+
+  /**
+   * Returns the permits of an advised queue.
+   *
+   * @return what the advice service has said of the step
+   */
+  public StepPermits permits() {
+    return permits;
+  }
+
+  /**
+   * Tells whether the policy of the queue lets a worker run the step now.
+   *
+   * @param worker the worker
+   * @param now monotonic time in ns
+   * @return whether the queue has no such policy, or a permit is at hand
+   */
+  boolean isPermitted(final WorkerState worker, final long now) {
+    return !job.queue().advised() || !permits.valid(worker, now).isEmpty();
+  }
+
+  /** Tells whether a task of the step wants a worker. */
+  boolean hasWaiting() {
+    return waitingTasks() > 0;
+  }
+
+  /** Counts the tasks that want a worker. */
+  int waitingTasks() {
+    int waiting = 0;
+    for (final Task task : tasks) {
+      if (task.isWaiting()) {
+        waiting++;
+      }
+    }
+    return waiting;
+  }
+
   /**
    * Returns the estimated work that is left.
    *
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -37,6 +37,8 @@
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.model.time.PausedTime;
 import org.lentilsail.store.StoredItem;
+import org.lentilsail.worker.Advice;
+import org.lentilsail.worker.AdviceClient;
 
 /** Daemons, workers and the store of a small deployment on one paused clock. */
 final class SimulatedDeployment {
@@ -49,6 +51,12 @@
   /** Longest lease of a worker, as it is on the users' sites. */
   static final long MAX_LEASE_MILLIS = 6_000;
 
+  /** Time in ms for which a permit is valid. */
+  static final long PERMIT_MILLIS = 1_000;
+
+  /** Queue whose steps need a permit. */
+  static final String ADVISED_QUEUE = "advised";
+
   private static final long WALL_ORIGIN = 1_700_000_000_000L;
 
   final PausedTime time = new PausedTime(WALL_ORIGIN);
@@ -56,6 +64,20 @@
   final MemoryStore store = new MemoryStore(time, world);
   final SimulatedWorkers workers;
   final SimulatedMachines machines = new SimulatedMachines();
+
+  /** Worker ids by step of the questions to the advice service. */
+  final List<List<String>> questions = new ArrayList<>();
+
+  /** Permits that the advice service gives; only workers with one may run advised steps. */
+  final Map<String, String> permits = new HashMap<>();
+
+  private final AdviceClient advice =
+      (step, asked) -> {
+        questions.add(asked);
+        final Map<String, String> good = new HashMap<>(permits);
+        good.keySet().retainAll(asked);
+        return CompletableFuture.completedFuture(new Advice(good, PERMIT_MILLIS));
+      };
   private final Map<String, WorkerEntry> entries = new HashMap<>();
   private final Map<String, JobNode> nodes = new LinkedHashMap<>();
   private final List<DecisionLog> logs = new ArrayList<>();
@@ -80,6 +102,7 @@
                 store.client(daemon),
                 workers.client(daemon),
                 machines.client(daemon),
+                advice,
                 new Documents(),
                 world,
                 time,
@@ -129,9 +152,14 @@
 
   /** Submits a job and waits until it is answered. */
   SubmitOutcome submit(final JobNode node, final String id, final StepSpec... steps) {
+    return submit(node, QUEUE, id, steps);
+  }
+
+  SubmitOutcome submit(
+      final JobNode node, final String queue, final String id, final StepSpec... steps) {
     final SubmittedJob job =
         new SubmittedJob(
-            QUEUE, SERVICE, time.wallMillis(), new JobSpec(id, "work", List.of(steps), 0, 0, 0));
+            queue, SERVICE, time.wallMillis(), new JobSpec(id, "work", List.of(steps), 0, 0, 0));
     return await(node.gate().submit(job), Duration.ofSeconds(2));
   }
 
@@ -191,6 +219,10 @@
         limit);
   }
 
+  private static QueueSpec queue(final String name, final boolean advised) {
+    return new QueueSpec(name, "host", '/' + name + '/', SERVICE, 0, 3, 1.6, 600, advised);
+  }
+
   /** Items of this deployment name what they hold. */
   private final class Documents implements FleetDocuments {
     @Override
@@ -214,7 +246,7 @@
           ? Optional.of(
               new JobConfiguration(
                   1,
-                  List.of(new QueueSpec(QUEUE, "host", "/holds/", SERVICE, 0, 3, 1.6, 600, false)),
+                  List.of(queue(QUEUE, false), queue(ADVISED_QUEUE, true)),
                   List.of(new ServiceSpec(SERVICE, true, false)),
                   0))
           : Optional.empty();
