Let daemons that start later get ranges of keys

Cause of the known red AtMostOnceTest ("a range of keys did not come true within 40000 ms"): a daemon with a head start of some seconds, as under load, takes all 16 ranges. It then gave up range 0 and went on giving up the same one, since it still counted as its own; and the others had read all ranges once and never again. Change: a range that is given up is no surplus any more, and a daemon with too few ranges reads some of the others again in each tick.

--- a/library/src/main/java/org/lentilsail/idempotency/KeyTermKeeper.java
+++ b/library/src/main/java/org/lentilsail/idempotency/KeyTermKeeper.java
@@ -29,6 +29,9 @@
   /** Age in ms of the oldest keys of a range that nobody has owned before. */
   private static final long FIRST_BACK_MILLIS = 60_000;
 
+  /** Ranges of others that are read again in a tick while this daemon owns too few. */
+  private static final int READS_PER_TICK = 4;
+
   /** Start of the keys in the platform. */
   private static final String PREFIX = "keys/";
 
@@ -59,6 +62,9 @@
   /** Whether all terms are being given up. */
   private boolean stopping;
 
+  /** Range that is read again next; guarded by this. */
+  private int nextRead;
+
   /**
    * Creates a keeper.
    *
@@ -107,13 +113,27 @@
       if (!state.isRead()) {
         read(range);
       } else if (isMine(state)) {
-        final boolean surplus = owned > share && !given;
+        final boolean surplus = owned > share && !given && !state.isGivenUp();
         given |= surplus;
         renew(range, surplus, owned < share);
       } else if (!stopping && owned < share) {
         owned += take(range, provedDead) ? 1 : 0;
       }
     }
+    if (!stopping && owned < share) {
+      readOthers();
+    }
+  }
+
+  /** Reads some ranges of other daemons again; their owners may have given them up. */
+  private void readOthers() {
+    for (int i = 0; i < READS_PER_TICK; i++) {
+      final int range = nextRead;
+      nextRead = (nextRead + 1) % ranges.length;
+      if (!ranges[range].isBusy() && !isMine(ranges[range])) {
+        read(range);
+      }
+    }
   }
 
   /**
