Keep which tasks a worker may have been given before they start

Change: Placements commits the tasks of each worker (runs, and ends that are not kept) before their starts are sent, up to 15 workers a commit, at most 125 commits a second; RecoveryGate holds back just the tasks named for workers that have not been asked.

--- a/library/src/main/java/org/lentilsail/jobs/AdviceRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/AdviceRunner.java
@@ -21,7 +21,7 @@
   private final AdvicePlanner planner;
   private final Runnable changed;
   private boolean asking;
-  private long retryAt = Long.MIN_VALUE;
+  private long retryAt = Long.MIN_VALUE / 2;
 
   AdviceRunner(final ControlParts parts, final AdvicePlanner planner, final Runnable changed) {
     this.parts = parts;
--- a/library/src/main/java/org/lentilsail/jobs/Documents.java
+++ b/library/src/main/java/org/lentilsail/jobs/Documents.java
@@ -36,6 +36,9 @@
   /** Reads the workers that may have been given work. */
   static final ObjectReader ROSTER = MAPPER.readerFor(RosterDocument.class);
 
+  /** Reads the tasks that a worker may have been given. */
+  static final ObjectReader PLACEMENT = MAPPER.readerFor(PlacementDocument.class);
+
   /** Reads the machines maintained in a wave. */
   static final ObjectReader WAVE = MAPPER.readerFor(WaveDocument.class);
 
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -52,6 +52,7 @@
   private final Scheduler scheduler;
   private final MachineControl machines;
   private final AdviceRunner advice;
+  private final Placements placements;
   private final Housekeeping housekeeping;
   private final long claimedAt;
   private Term term;
@@ -74,11 +75,13 @@
     items = new HolderItems(term);
     ledger = new RunLedger(jobs, new RunNumbers(term.number()));
     scheduler = new Scheduler(jobs, fleet, ledger, gate);
-    advice = new AdviceRunner(parts, new AdvicePlanner(jobs, fleet, gate), this::changed);
+    advice = new AdviceRunner(parts, new AdvicePlanner(jobs, fleet), this::changed);
     writer = new ProgressWriter(parts, jobs, items, election::superseded);
     workers =
         new HolderWorkers(
             parts, fleet, ledger, gate, items, this, this::registryLoaded, election::superseded);
+    placements =
+        new Placements(parts, ledger, items, workers::send, this::changed, election::superseded);
     machines =
         new MachineControl(
             parts,
@@ -122,6 +125,7 @@
     inputFollower.close();
     registryFollower.close();
     writer.close();
+    placements.close();
     machines.close();
     workers.close();
     if (ticker != null) {
@@ -202,7 +206,7 @@
     kept.all().forEach(items::known);
     input.restore(kept.progress());
     machines.restore(kept, claimedAt);
-    workers.restore(kept.members(), claimedAt);
+    workers.restore(kept.members(), kept.placed(), claimedAt);
   }
 
   private void inputLoaded() {
@@ -264,7 +268,7 @@
     try {
       if (isSure()) {
         final long now = parts.time().nanos();
-        scheduler.place(now).forEach(workers::send);
+        placements.start(scheduler.place(now));
         advice.ask(now);
       }
       ledger.takeOrders().forEach(workers::send);
--- a/library/src/main/java/org/lentilsail/jobs/KeptState.java
+++ b/library/src/main/java/org/lentilsail/jobs/KeptState.java
@@ -1,9 +1,12 @@
 package org.lentilsail.jobs;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.store.ItemPage;
 import org.lentilsail.store.KeyValueStore;
@@ -15,25 +18,32 @@
  *
  * @param progress progress of jobs
  * @param waves machines maintained by wave
+ * @param placements tasks that workers may have been given
  * @param roster workers that may have been given work, empty when there was none
  * @param machineOrders machines with recent orders, empty when there was none
  */
 record KeptState(
     List<StoredItem> progress,
     List<StoredItem> waves,
+    List<StoredItem> placements,
     Optional<StoredItem> roster,
     Optional<StoredItem> machineOrders) {
 
   static CompletableFuture<KeptState> read(final KeyValueStore store) {
     final CompletableFuture<ItemPage> progress = RangeReader.readAll(store, StoreKeys.PROGRESS);
     final CompletableFuture<ItemPage> waves = RangeReader.readAll(store, StoreKeys.WAVES);
+    final CompletableFuture<ItemPage> placements = RangeReader.readAll(store, StoreKeys.PLACEMENTS);
     final CompletableFuture<Optional<StoredItem>> roster = store.get(StoreKeys.ROSTER);
     final CompletableFuture<Optional<StoredItem>> orders = store.get(StoreKeys.MACHINE_ORDERS);
-    return CompletableFuture.allOf(progress, waves, roster, orders)
+    return CompletableFuture.allOf(progress, waves, placements, roster, orders)
         .thenApply(
             done ->
                 new KeptState(
-                    progress.join().items(), waves.join().items(), roster.join(), orders.join()));
+                    progress.join().items(),
+                    waves.join().items(),
+                    placements.join().items(),
+                    roster.join(),
+                    orders.join()));
   }
 
   /** Returns the workers that may have been given work. */
@@ -44,10 +54,23 @@
         .orElse(List.of());
   }
 
+  /** Returns the tasks that workers may have been given, by id of the worker. */
+  Map<String, List<TaskId>> placed() {
+    final Map<String, List<TaskId>> placed = new HashMap<>();
+    for (final StoredItem item : placements) {
+      Documents.<PlacementDocument>read(Documents.PLACEMENT, item)
+          .ifPresent(
+              document ->
+                  placed.put(item.key().substring(StoreKeys.PLACEMENTS.length()), document.ids()));
+    }
+    return placed;
+  }
+
   /** Returns all items. */
   List<StoredItem> all() {
     final List<StoredItem> items = new ArrayList<>(progress);
     items.addAll(waves);
+    items.addAll(placements);
     roster.ifPresent(items::add);
     machineOrders.ifPresent(items::add);
     return items;
--- /dev/null
+++ b/library/src/main/java/org/lentilsail/jobs/Placements.java
@@ -0,0 +1,179 @@
+package org.lentilsail.jobs;
+
+import static org.lentilsail.store.Callbacks.logged;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.lentilsail.policy.job.Order;
+import org.lentilsail.policy.job.RunLedger;
+import org.lentilsail.policy.job.WorkerState;
+import org.lentilsail.store.Commit;
+import org.lentilsail.store.CommitResult;
+
+/**
+ * Keeps in the store, before a start is sent, which tasks a worker may have been given. A later
+ * holder then holds back only these while the worker cannot be asked. Starts that come while
+ * commits are on their way share the next one. Owned by the control thread.
+ */
+final class Placements {
+  /** Workers in one commit, each with a condition and a write, beside the condition on the term. */
+  private static final int BATCH = (Commit.MAX_ENTRIES - 1) / 2;
+
+  /** Commits on their way at once; a fleet of 250 workers is given work in a few of them. */
+  private static final int MAX_COMMITS = 4;
+
+  /** Least time in ns between two commits, which bounds the calls in a peak to 125 a second. */
+  private static final long INTERVAL_NANOS = 8_000_000L;
+
+  /** Pause in ns after a commit that failed. */
+  private static final long RETRY_NANOS = 60_000_000L;
+
+  private final ControlParts parts;
+  private final RunLedger ledger;
+  private final HolderItems items;
+  private final Consumer<Order> send;
+  private final Runnable changed;
+  private final Runnable superseded;
+  private final Map<WorkerState, List<Order.Start>> waiting = new LinkedHashMap<>();
+  private final Set<WorkerState> underWay = new HashSet<>();
+  private int commits;
+  private long nextAt = Long.MIN_VALUE / 2;
+  private boolean scheduled;
+  private boolean closed;
+
+  Placements(
+      final ControlParts parts,
+      final RunLedger ledger,
+      final HolderItems items,
+      final Consumer<Order> send,
+      final Runnable changed,
+      final Runnable superseded) {
+    this.parts = parts;
+    this.ledger = ledger;
+    this.items = items;
+    this.send = send;
+    this.changed = changed;
+    this.superseded = superseded;
+  }
+
+  /** Sends starts as soon as they are kept. */
+  void start(final List<Order.Start> starts) {
+    for (final Order.Start start : starts) {
+      waiting.computeIfAbsent(start.run().worker(), worker -> new ArrayList<>()).add(start);
+    }
+    flush();
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  private void flush() {
+    if (closed || waiting.isEmpty() || commits >= MAX_COMMITS) {
+      return;
+    }
+    final long pause = nextAt - parts.time().nanos();
+    if (pause > 0) {
+      flushAfter(pause);
+      return;
+    }
+    final Map<WorkerState, List<Order.Start>> batch = takeBatch();
+    if (!batch.isEmpty()) {
+      nextAt = parts.time().nanos() + INTERVAL_NANOS;
+      commit(batch);
+      flush();
+    }
+  }
+
+  private void flushAfter(final long nanos) {
+    if (!scheduled) {
+      scheduled = true;
+      parts
+          .executor()
+          .schedule(
+              () -> {
+                scheduled = false;
+                flush();
+              },
+              nanos,
+              TimeUnit.NANOSECONDS);
+    }
+  }
+
+  /** Takes workers of which no commit is on its way; its revision would not be known. */
+  private Map<WorkerState, List<Order.Start>> takeBatch() {
+    final Map<WorkerState, List<Order.Start>> batch = new LinkedHashMap<>();
+    final Iterator<Map.Entry<WorkerState, List<Order.Start>>> entries =
+        waiting.entrySet().iterator();
+    while (entries.hasNext() && batch.size() < BATCH) {
+      final Map.Entry<WorkerState, List<Order.Start>> entry = entries.next();
+      if (underWay.add(entry.getKey())) {
+        batch.put(entry.getKey(), entry.getValue());
+        entries.remove();
+      }
+    }
+    return batch;
+  }
+
+  private void commit(final Map<WorkerState, List<Order.Start>> batch) {
+    commits++;
+    Commit commit = items.begin();
+    for (final WorkerState worker : batch.keySet()) {
+      commit =
+          items.write(
+              commit,
+              StoreKeys.placement(worker.id()),
+              Documents.write(PlacementDocument.of(worker.occupants())));
+    }
+    parts
+        .store()
+        .commit(commit)
+        .whenCompleteAsync(
+            logged(
+                (result, failure) -> {
+                  commits--;
+                  underWay.removeAll(batch.keySet());
+                  if (!closed) {
+                    judge(batch, result, failure);
+                  }
+                }),
+            parts.executor());
+  }
+
+  private void judge(
+      final Map<WorkerState, List<Order.Start>> batch,
+      final CommitResult result,
+      final Throwable failure) {
+    final HolderItems.Verdict verdict =
+        failure == null
+            ? items.judge(
+                result, batch.keySet().stream().map(w -> StoreKeys.placement(w.id())).toList())
+            : HolderItems.Verdict.REPEAT;
+    if (verdict == HolderItems.Verdict.MADE) {
+      batch.values().forEach(starts -> starts.forEach(send));
+    } else {
+      final long now = parts.time().nanos();
+      batch.values().forEach(s -> s.forEach(start -> ledger.notStarted(start.run(), now)));
+      if (verdict == HolderItems.Verdict.SUPERSEDED) {
+        superseded.run();
+        return;
+      }
+      parts.log().log(
+          "placement-not-kept",
+          "workers",
+          batch.size(),
+          "reason",
+          failure == null ? "an item was different" : failure.getMessage());
+      nextAt = now + RETRY_NANOS;
+      changed.run();
+    }
+    flush();
+  }
+}
--- a/library/src/main/java/org/lentilsail/jobs/StoreKeys.java
+++ b/library/src/main/java/org/lentilsail/jobs/StoreKeys.java
@@ -23,6 +23,9 @@
   /** Workers that may have been given work. */
   static final String ROSTER = "roster";
 
+  /** Tasks that a worker may have been given, by worker; written by the holder. */
+  static final String PLACEMENTS = "at/";
+
   /** Numbers of waiting jobs by queue. */
   static final String WAITING = "waiting";
 
@@ -50,6 +53,10 @@
     return PROGRESS + id;
   }
 
+  static String placement(final String worker) {
+    return PLACEMENTS + worker;
+  }
+
   static String wave(final long number) {
     return WAVES + number;
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
@@ -21,7 +21,6 @@
 
   private final JobBook jobs;
   private final Fleet fleet;
-  private final RecoveryGate gate;
 
   /**
    * A question to the advice service.
@@ -36,12 +35,10 @@
    *
    * @param jobs all jobs
    * @param fleet all workers
-   * @param gate holds back work after a change of the holder
    */
-  public AdvicePlanner(final JobBook jobs, final Fleet fleet, final RecoveryGate gate) {
+  public AdvicePlanner(final JobBook jobs, final Fleet fleet) {
     this.jobs = jobs;
     this.fleet = fleet;
-    this.gate = gate;
   }
 
   /**
@@ -54,7 +51,7 @@
     final List<JobOrder.Rank> ready = new ArrayList<>();
     final List<JobOrder.Rank> later = new ArrayList<>();
     for (final JobRun job : jobs.active()) {
-      if (!job.queue().advised() || gate.blocks(job, jobs.serviceOf(job))) {
+      if (!job.queue().advised()) {
         continue;
       }
       for (final StepRun step : job.steps()) {
--- a/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
@@ -1,37 +1,44 @@
 package org.lentilsail.policy.job;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import org.lentilsail.model.job.TaskId;
 
 /**
- * Holds back the work that an earlier holder may have left running on workers that do not answer.
- * Starts are not stored, so after a change of the holder a task that no worker lists may still run
- * on a worker that cannot be asked, until the lease of that worker has expired. Jobs accepted since
- * the change are not affected. Owned by the control thread.
+ * Holds back the tasks that an earlier holder may have left running on workers that do not answer.
+ * Which tasks a worker may have been given is kept before they start, so after a change of the
+ * holder only these wait, until the worker has been asked or its lease has expired. Owned by the
+ * control thread.
  */
 public final class RecoveryGate {
   private final Map<String, Pending> pending = new HashMap<>();
-  private long openedAt = Long.MIN_VALUE;
+  private final Set<TaskId> blocked = new HashSet<>();
 
   /**
    * A worker that has not been asked yet.
    *
-   * @param service name of the service
+   * @param tasks tasks that it may have been given
    * @param expiresAt monotonic time in ns at which its lease has surely expired
    */
-  private record Pending(String service, long expiresAt) {}
+  private record Pending(Collection<TaskId> tasks, long expiresAt) {}
 
   /**
    * Closes the gate.
    *
-   * @param workers service of each worker that may have been given work, by id of the worker
+   * @param workers tasks of each worker that may have been given work, by id of the worker
    * @param now monotonic time in ns
    * @param leaseNanos time in ns after which the lease of a worker has surely expired
    */
-  public void close(final Map<String, String> workers, final long now, final long leaseNanos) {
+  public void close(
+      final Map<String, ? extends Collection<TaskId>> workers,
+      final long now,
+      final long leaseNanos) {
     pending.clear();
-    workers.forEach((id, service) -> pending.put(id, new Pending(service, now + leaseNanos)));
-    openedAt = now;
+    workers.forEach((id, tasks) -> pending.put(id, new Pending(tasks, now + leaseNanos)));
+    collect();
   }
 
   /**
@@ -40,7 +47,10 @@
    * @param worker id of the worker
    */
   public void resolved(final String worker) {
-    pending.remove(worker);
+    final Pending known = pending.remove(worker);
+    if (known != null && !known.tasks().isEmpty()) {
+      collect();
+    }
   }
 
   /**
@@ -49,20 +59,19 @@
    * @param now monotonic time in ns
    */
   public void expire(final long now) {
-    pending.values().removeIf(worker -> now >= worker.expiresAt());
+    if (pending.values().removeIf(worker -> now >= worker.expiresAt())) {
+      collect();
+    }
   }
 
   /**
-   * Tells whether tasks of a job may be running without our knowledge.
+   * Tells whether a task may be running without our knowledge.
    *
-   * @param job the job
-   * @param service service that runs it
-   * @return whether its tasks must not be started yet
+   * @param task name of the task
+   * @return whether it must not be started yet
    */
-  public boolean blocks(final JobRun job, final String service) {
-    return !pending.isEmpty()
-        && job.arrivedAt() <= openedAt
-        && pending.values().stream().anyMatch(worker -> worker.service().equals(service));
+  public boolean blocks(final TaskId task) {
+    return blocked.contains(task);
   }
 
   /**
@@ -83,4 +92,9 @@
   public int size() {
     return pending.size();
   }
+
+  private void collect() {
+    blocked.clear();
+    pending.values().forEach(worker -> blocked.addAll(worker.tasks()));
+  }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
@@ -150,7 +150,7 @@
     for (final ListedEnd end : list.ended()) {
       if (end.number() > worker.endsSeen()) {
         mustKeep |= ended(worker, end, now, wallMillis);
-        worker.tookEnd(end.number());
+        worker.tookEnd(end.number(), end.task());
       }
     }
     final Set<TaskRun> seen = new HashSet<>();
--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -82,9 +82,6 @@
   List<JobOrder.Rank> waiting(final long now) {
     final List<JobOrder.Rank> ranks = new ArrayList<>();
     for (final JobRun job : jobs.active()) {
-      if (gate.blocks(job, jobs.serviceOf(job))) {
-        continue;
-      }
       for (final StepRun step : job.steps()) {
         if (!step.isDone() && job.isReady(step) && step.hasWaiting()) {
           ranks.add(JobOrder.rank(step, now));
@@ -101,7 +98,7 @@
       final long now,
       final List<Order.Start> starts) {
     for (final Task task : step.tasks()) {
-      if (!task.isWaiting()) {
+      if (!task.isWaiting() || gate.blocks(task.id())) {
         continue;
       }
       final WorkerState worker = Placement.choose(task, candidates, now);
@@ -122,7 +119,7 @@
       final List<WorkerState> candidates,
       final long now,
       final List<Order.Start> starts) {
-    if (!step.tasks().stream().allMatch(Task::isWaiting)) {
+    if (!step.tasks().stream().allMatch(task -> task.isWaiting() && !gate.blocks(task.id()))) {
       return;
     }
     final List<WorkerState> chosen = GangPlacement.choose(step, candidates, now);
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -2,8 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.NavigableMap;
+import java.util.Set;
+import java.util.TreeMap;
 import org.lentilsail.model.job.Resources;
+import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
 
 /** One life of a worker with what runs on it; owned by the control thread. */
@@ -11,6 +16,7 @@
   private final List<TaskRun> runs = new ArrayList<>();
   private final WorkerClock clock = new WorkerClock();
   private final WorkerHealth health = new WorkerHealth();
+  private final NavigableMap<Long, TaskId> unkeptEnds = new TreeMap<>();
   private final long knownAt;
   private WorkerEntry entry;
   private boolean listed = true;
@@ -18,6 +24,7 @@
   private boolean answering;
   private long silentSince = Long.MAX_VALUE;
   private boolean cordoned;
+  private boolean maintainedSoon;
   private long leaseUntil;
   private long endsSeen;
   private long endsKept;
@@ -170,6 +177,24 @@
     cordoned = value;
   }
 
+  /**
+   * Tells whether the machine of the worker is still to be maintained in a wave.
+   *
+   * @return whether tasks that last should rather go elsewhere
+   */
+  public boolean isMaintainedSoon() {
+    return maintainedSoon;
+  }
+
+  /**
+   * Records whether the machine of the worker is still to be maintained in a wave.
+   *
+   * @param value whether it is
+   */
+  public void maintainedSoon(final boolean value) {
+    maintainedSoon = value;
+  }
+
   /**
    * Returns the end of the lease of all runs.
    *
@@ -213,6 +238,18 @@
    */
   public void endsKept(final long number) {
     endsKept = Math.max(endsKept, number);
+    unkeptEnds.headMap(number, true).clear();
+  }
+
+  /**
+   * Returns the tasks that another holder must not start before it has asked the worker.
+   *
+   * @return tasks with a run here, or with an end whose effect is not kept
+   */
+  public Set<TaskId> occupants() {
+    final Set<TaskId> tasks = new LinkedHashSet<>(unkeptEnds.values());
+    runs.forEach(run -> tasks.add(run.task().id()));
+    return tasks;
   }
 
   /**
@@ -288,8 +325,9 @@
     synced = true;
   }
 
-  void tookEnd(final long number) {
+  void tookEnd(final long number, final TaskId task) {
     endsSeen = number;
+    unkeptEnds.put(number, task);
   }
 
   void add(final TaskRun run) {
@@ -309,6 +347,7 @@
     leaseUntil = 0;
     endsSeen = 0;
     endsKept = 0;
+    unkeptEnds.clear();
     synced = false;
   }
 }
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -153,6 +153,27 @@
     return shortStep(count, 1_000, 1_000, List.of(), true);
   }
 
+  /** A step whose tasks only work together. */
+  static StepSpec gang(final int count) {
+    return new StepSpec(
+        count,
+        new Resources(1_000, 1_000, 0),
+        1_000,
+        List.of(),
+        false,
+        true,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
   static StepSpec lasting(final int count, final int maxPerWorker, final int mayMiss) {
     return lastingStep(count, 20_000, maxPerWorker, "image", 0, false, mayMiss);
   }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -136,6 +136,17 @@
     assertThat(deployment.workers.runs("w3"), is(1));
   }
 
+  @Test
+  void workThatWasNotPlacedDoesNotWaitForWorkerThatCannotBeAsked() {
+    deployment.submit(second, "1000000000000002", lasting(2));
+    deployment.advance(Duration.ofMillis(200));
+    deployment.workers.cut("d2", "w1", true);
+    deployment.isolate("d1");
+    assertThat(deployment.submit(second, JOB, step(2)), is(SubmitOutcome.ACCEPTED));
+    deployment.advance(SimulatedDeployment.FAIL_OVER);
+    assertThat(deployment.workers.history().starts(JOB), is(2));
+  }
+
   @Test
   void restartsWorkOfCrashedWorkerAfterItsLease() {
     final String lastingJob = "1000000000000003";
