Do not send the start of a run that was given up meanwhile

Cause, found in review: a start waits for its placement to be kept, or behind other orders, while its worker may be found lost or reborn; the task is then placed elsewhere, and the first start would still be sent. Change: an order of a run that its worker no longer carries is left out. WorkerOrdersTest.doesNotStartRunThatWasGivenUp was seen to fail without the check.

--- a/library/src/main/java/org/lentilsail/jobs/Placements.java
+++ b/library/src/main/java/org/lentilsail/jobs/Placements.java
@@ -160,7 +160,7 @@
       batch.values().forEach(starts -> starts.forEach(send));
     } else {
       final long now = parts.time().nanos();
-      batch.values().forEach(s -> s.forEach(start -> ledger.notStarted(start.run(), now)));
+      batch.forEach((worker, starts) -> giveUp(worker, starts, now));
       if (verdict == HolderItems.Verdict.SUPERSEDED) {
         superseded.run();
         return;
@@ -176,4 +176,12 @@
     }
     flush();
   }
+
+  private void giveUp(final WorkerState worker, final List<Order.Start> starts, final long now) {
+    for (final Order.Start start : starts) {
+      if (worker.runs().contains(start.run())) {
+        ledger.notStarted(start.run(), now);
+      }
+    }
+  }
 }
--- a/library/src/main/java/org/lentilsail/jobs/WorkerOrders.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerOrders.java
@@ -96,6 +96,10 @@
 
   private CompletableFuture<OrderReply> start(final TaskRun run) {
     final long now = parts.time().nanos();
+    if (!worker.runs().contains(run)) {
+      // The run was given up while its order waited; its task may have started elsewhere.
+      return null;
+    }
     if (run.phase() == RunPhase.STOPPING || !events.isSure() || !worker.clock().isKnown()) {
       ledger.notStarted(run, now);
       events.changed();
--- /dev/null
+++ b/library/src/test/java/org/lentilsail/jobs/WorkerOrdersTest.java
@@ -0,0 +1,179 @@
+package org.lentilsail.jobs;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.lentilsail.ManualExecutor;
+import org.lentilsail.log.DecisionLog;
+import org.lentilsail.model.job.JobSpec;
+import org.lentilsail.model.job.Resources;
+import org.lentilsail.model.job.StepSpec;
+import org.lentilsail.model.job.SubmittedJob;
+import org.lentilsail.model.job.TaskId;
+import org.lentilsail.model.job.WorkerEntry;
+import org.lentilsail.model.time.PausedTime;
+import org.lentilsail.policy.job.JobBook;
+import org.lentilsail.policy.job.JobRun;
+import org.lentilsail.policy.job.Order;
+import org.lentilsail.policy.job.RunLedger;
+import org.lentilsail.policy.job.RunNumbers;
+import org.lentilsail.policy.job.TaskRun;
+import org.lentilsail.policy.job.WorkerState;
+import org.lentilsail.worker.LookOrder;
+import org.lentilsail.worker.LookReply;
+import org.lentilsail.worker.OrderReply;
+import org.lentilsail.worker.StartOrder;
+import org.lentilsail.worker.WorkerClient;
+
+/**
+ * Guards against the start of a run that was given up while its order waited for the store or
+ * behind other orders: its task may run elsewhere by then.
+ */
+class WorkerOrdersTest {
+  private final PausedTime time = new PausedTime(1_700_000_000_000L);
+  private final Workers workers = new Workers();
+  private final DecisionLog log =
+      new DecisionLog(time, new PrintStream(OutputStream.nullOutputStream()));
+  private final JobBook jobs = new JobBook();
+  private final RunLedger ledger = new RunLedger(jobs, new RunNumbers(1));
+  private final WorkerState worker =
+      new WorkerState(
+          new WorkerEntry(
+              "w1",
+              "booking",
+              InetSocketAddress.createUnresolved("10.0.0.1", 80),
+              "north",
+              false,
+              new Resources(8_000, 8_000, 0),
+              List.of(),
+              1),
+          0);
+  private final WorkerSession session =
+      new WorkerSession(parts(), worker, ledger, new HolderItems(new Term(1, 1)), new Events());
+
+  @AfterEach
+  void close() {
+    log.close();
+  }
+
+  @Test
+  void startsRunThatIsExpected() {
+    session.send(new Order.Start(run()));
+    assertThat(workers.starts, is(1));
+  }
+
+  @Test
+  void doesNotStartRunThatWasGivenUp() {
+    final TaskRun run = run();
+    ledger.lost(worker, time.nanos());
+    session.send(new Order.Start(run));
+    assertThat(workers.starts, is(0));
+  }
+
+  private TaskRun run() {
+    final StepSpec step =
+        new StepSpec(
+            1,
+            new Resources(1_000, 100, 0),
+            300,
+            List.of(),
+            false,
+            false,
+            false,
+            "",
+            "",
+            0,
+            false,
+            false,
+            "",
+            0,
+            false,
+            0);
+    final JobSpec spec = new JobSpec("00000000000000a1", "work", List.of(step), 0, 0, 0);
+    final JobRun job = jobs.accept(new SubmittedJob("holds", "booking", 0, spec), 0, time.nanos());
+    worker.clock().read(1_000, time.nanos());
+    return ledger.start(job.steps().get(0).tasks().get(0), worker, 0, time.nanos());
+  }
+
+  private ControlParts parts() {
+    return new ControlParts(
+        null,
+        workers,
+        null,
+        null,
+        null,
+        new ManualExecutor(time),
+        time,
+        log,
+        new JobMetrics(new PrometheusRegistry()),
+        new ControlBounds(6_000, 2_000, 1_500, 120_000, 3_000));
+  }
+
+  /** Counts starts and never answers. */
+  private static final class Workers implements WorkerClient {
+    private int starts;
+
+    @Override
+    public CompletableFuture<OrderReply> start(final WorkerEntry target, final StartOrder order) {
+      starts++;
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<OrderReply> stop(
+        final WorkerEntry target, final TaskId task, final int run, final long token) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<OrderReply> pace(
+        final WorkerEntry target,
+        final TaskId task,
+        final int run,
+        final int percent,
+        final long token) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<LookReply> look(final WorkerEntry target, final LookOrder order) {
+      return new CompletableFuture<>();
+    }
+  }
+
+  /** A holder that is sure of its lease. */
+  private static final class Events implements SessionEvents {
+    @Override
+    public boolean isSure() {
+      return true;
+    }
+
+    @Override
+    public boolean isStoreDoubtful() {
+      return false;
+    }
+
+    @Override
+    public void fenced() {}
+
+    @Override
+    public void changed() {}
+
+    @Override
+    public void resolved(final WorkerState worker) {}
+
+    @Override
+    public void gone(final WorkerState worker) {}
+
+    @Override
+    public void whenKept(final Runnable action) {}
+  }
+}
