Add lentilsail history: what logs of daemons say of a job

An operator had to search and sort the logs of all daemons by hand to get from the id of a failed request to its cause.

--- a/cli/src/main/java/org/lentilsail/cli/Command.java
+++ b/cli/src/main/java/org/lentilsail/cli/Command.java
@@ -16,6 +16,11 @@
   /** Declares the options beyond the common ones. */
   default void declare(final OptionParser parser) {}
 
+  /** Tells whether the command calls daemons and so needs their addresses. */
+  default boolean callsDaemons() {
+    return true;
+  }
+
   /** Runs the command; a failure is an exception with a code. */
   void run(Invocation invocation);
 }
--- a/cli/src/main/java/org/lentilsail/cli/CommandLine.java
+++ b/cli/src/main/java/org/lentilsail/cli/CommandLine.java
@@ -93,7 +93,12 @@
     int exit = 0;
     try (HttpCaller caller = new UndertowHttpCaller(worker, TimeSource.system())) {
       final Invocation invocation =
-          new Invocation(options, new AdminClient(caller, servers(options)), out, err, marks);
+          new Invocation(
+              options,
+              new AdminClient(caller, command.callsDaemons() ? servers(options) : List.of()),
+              out,
+              err,
+              marks);
       try {
         command.run(invocation);
       } catch (final ReportedException error) {
--- a/cli/src/main/java/org/lentilsail/cli/Commands.java
+++ b/cli/src/main/java/org/lentilsail/cli/Commands.java
@@ -25,6 +25,7 @@
               "vm|wave NAME",
               "explains the state of a VM or a wave",
               List.of("/v1/explain/", "/", "")),
+          new HistoryCommand(),
           new ReadCommand("state", "", "shows the state of a daemon", List.of("/v1/state")));
 
   private Commands() {}
