Move tasks that last ahead of a wave and keep idle machines while a turn begins

The last machines carried several tasks that last of one step, of which only a few may be away at once. Now these leave the machines of a wave before it is their turn, for machines outside the wave. Now no pool gives machines back for 2 s after the begin of a turn.

Tests: WavePlannerTest, PoolPlannerTest (seen to fail without the rule).

--- a/cli/src/main/java/org/lentilsail/cli/LogFiles.java
+++ b/cli/src/main/java/org/lentilsail/cli/LogFiles.java
@@ -1,13 +1,10 @@
 package org.lentilsail.cli;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import org.lentilsail.model.error.ErrorCode;
-import org.lentilsail.model.error.LentilsailException;
+import java.util.Optional;
 
 /** Reads logs of daemons. */
 final class LogFiles {
@@ -42,19 +39,11 @@
   }
 
   private static List<LogLine> read(final Path file) {
-    final List<LogLine> lines = new ArrayList<>();
-    try {
-      final String name = file.getFileName().toString();
-      for (final String line : Files.readAllLines(file)) {
-        LogLine.parse(name, line).ifPresent(lines::add);
-      }
-    } catch (final IOException error) {
-      throw new LentilsailException(
-          ErrorCode.INVALID_INPUT,
-          file + " cannot be read: " + error,
-          "name a readable file in UTF-8",
-          error);
-    }
-    return lines;
+    final String name = file.getFileName().toString();
+    return TextFiles.read(file)
+        .lines()
+        .map(line -> LogLine.parse(name, line))
+        .flatMap(Optional::stream)
+        .toList();
   }
 }
--- a/cli/src/main/java/org/lentilsail/cli/RecordFiles.java
+++ b/cli/src/main/java/org/lentilsail/cli/RecordFiles.java
@@ -1,8 +1,6 @@
 package org.lentilsail.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,7 +20,8 @@
     }
     final List<JsonNode> records = new ArrayList<>();
     for (final String file : files) {
-      final JsonNode json = JsonText.parse(text(file), file, ErrorCode.INVALID_INPUT);
+      final JsonNode json =
+          JsonText.parse(TextFiles.read(Path.of(file)), file, ErrorCode.INVALID_INPUT);
       if (json.isArray()) {
         json.forEach(records::add);
       } else {
@@ -36,16 +35,4 @@
   static String name(final JsonNode record) {
     return record.path("kind").asText() + "/" + record.path("name").asText();
   }
-
-  private static String text(final String file) {
-    try {
-      return Files.readString(Path.of(file));
-    } catch (final IOException error) {
-      throw new LentilsailException(
-          ErrorCode.INVALID_INPUT,
-          file + " cannot be read: " + error,
-          "name a readable file in UTF-8",
-          error);
-    }
-  }
 }
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -94,12 +94,12 @@
       worker.leaseUntil(until);
     }
     final long wait =
-        !known || keeping || worker.endsSeen() > worker.endsKept()
+        !known || keeping || worker.ends().seen() > worker.ends().kept()
             ? 0
             : worker.runs().isEmpty() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
     parts
         .workers()
-        .look(worker.entry(), new LookOrder(until, token(), worker.endsKept(), wait))
+        .look(worker.entry(), new LookOrder(until, token(), worker.ends().kept(), wait))
         .whenCompleteAsync(
             logged((reply, failure) -> guarded(() -> looked(turn, reply, sentAt))),
             parts.executor());
@@ -186,7 +186,7 @@
       return;
     }
     final boolean wasAnswering = worker.isAnswering();
-    final long endsBefore = worker.endsSeen();
+    final long endsBefore = worker.ends().seen();
     final boolean mustKeep = ledger.listed(worker, list, sentAt, now, parts.time().wallMillis());
     if (!wasAnswering) {
       parts.log().log("worker-answers", "worker", worker.id(), "running", list.running().size());
@@ -194,13 +194,13 @@
     events.resolved(worker);
     if (mustKeep) {
       keeping = true;
-      final long seen = worker.endsSeen();
+      final long seen = worker.ends().seen();
       events.whenKept(() -> kept(seen));
     } else if (!keeping) {
-      worker.endsKept(worker.endsSeen());
+      worker.ends().keep(worker.ends().seen());
     }
     check(now);
-    if (worker.endsSeen() > endsBefore || !wasAnswering) {
+    if (worker.ends().seen() > endsBefore || !wasAnswering) {
       events.changed();
     }
   }
@@ -243,8 +243,8 @@
     if (closed) {
       return;
     }
-    worker.endsKept(seen);
-    keeping = worker.endsSeen() > worker.endsKept();
+    worker.ends().keep(seen);
+    keeping = worker.ends().seen() > worker.ends().kept();
     if (!keeping) {
       look();
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/Evacuation.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Evacuation.java
@@ -48,6 +48,34 @@
     return worker.isEmpty();
   }
 
+  /**
+   * Moves tasks that last away from a worker that will be emptied later. Only a few tasks of a step
+   * may be away at once, so a worker with many of them would take long to empty.
+   *
+   * @param worker the worker
+   * @param now monotonic time in ns
+   */
+  public void moveLasting(final WorkerState worker, final long now) {
+    for (final TaskRun run : List.copyOf(worker.runs())) {
+      if (run.isLasting()
+          && run.phase() == RunPhase.RUNNING
+          && Availability.mayEnd(run, now)
+          && hasLastingRoomElsewhere(run, now)) {
+        ledger.stop(run, "its worker will be maintained");
+      }
+    }
+  }
+
+  private boolean hasLastingRoomElsewhere(final TaskRun run, final long now) {
+    final StepRun step = run.task().step();
+    for (final WorkerState other : fleet.ofService(jobs.serviceOf(step.job()))) {
+      if (!other.isMaintainedSoon() && isRoom(run, other, now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void advanceRun(final TaskRun run, final long elapsed, final long now) {
     final boolean lasting = run.isLasting();
     if (!lasting) {
@@ -63,10 +91,14 @@
   private boolean hasRoomElsewhere(final TaskRun run, final long now) {
     final StepRun step = run.task().step();
     for (final WorkerState other : fleet.ofService(jobs.serviceOf(step.job()))) {
-      if (other != run.worker() && other.isUsable(now) && Placement.fits(step, other)) {
+      if (isRoom(run, other, now)) {
         return true;
       }
     }
     return false;
   }
+
+  private static boolean isRoom(final TaskRun run, final WorkerState other, final long now) {
+    return other != run.worker() && other.isUsable(now) && Placement.fits(run.task().step(), other);
+  }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -15,6 +15,9 @@
   /** Preference for a worker with other tasks that last, so that the rest are free to move. */
   private static final double LASTING_BESIDE = 1e6;
 
+  /** Preference for a worker that no wave will end soon, for a task that lasts. */
+  private static final double NOT_MAINTAINED_SOON = 1e8;
+
   /** Runs of one job on a worker that is at fault may use up its attempts. */
   private static final int SCARCE_ATTEMPTS = 1;
 
@@ -90,6 +93,7 @@
     double score = -free.cpuMillis();
     if (spec.longRunning()) {
       score += LASTING_BESIDE * lastingRuns(worker);
+      score += worker.isMaintainedSoon() ? 0 : NOT_MAINTAINED_SOON;
     }
     if (!spec.dataRack().isEmpty() && worker.hasLabel(spec.dataRack())) {
       score += DATA_RACK;
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -27,6 +27,12 @@
   /** Time in ns that a machine stays in a pool at least; two moves cost as much as 2.3 s there. */
   private static final long STAY_NANOS = 2_300_000_000L;
 
+  /**
+   * Time in ns after the begin of a turn for which no pool gives machines back. The turn needs more
+   * a moment later, and a machine on its way to the spare pool comes back only after two moves.
+   */
+  private static final long KEEP_NANOS = 2_000_000_000L;
+
   /** Fewest workers of a pool; tasks that last must have somewhere to go when one is emptied. */
   private static final int MIN_WORKERS = 2;
 
@@ -41,6 +47,7 @@
   private final Map<String, Move> emptying = new HashMap<>();
   private final Map<String, Long> surplusSince = new HashMap<>();
   private final Set<String> moving = new HashSet<>();
+  private long risingAt = Long.MIN_VALUE / 2;
 
   /**
    * A machine to be moved.
@@ -51,30 +58,6 @@
    */
   public record Move(Machine machine, String pool, long since) {}
 
-  /** A pool while moves are planned. */
-  private static final class Pool {
-    private final String name;
-    private final long wanted;
-    private final int minWorkers;
-    private long present;
-    private int workers;
-
-    Pool(final String name, final long wanted, final int minWorkers) {
-      this.name = name;
-      this.wanted = wanted;
-      this.minWorkers = minWorkers;
-    }
-
-    /** Missing processor; at least a little while there are too few workers. */
-    long missing() {
-      return workers < minWorkers ? Math.max(1, wanted - present) : wanted - present;
-    }
-
-    double need() {
-      return wanted <= 0 ? 0 : (double) missing() / wanted;
-    }
-  }
-
   /**
    * Creates a planner.
    *
@@ -106,11 +89,16 @@
     if (!machines.isKnown() || loads.isEmpty()) {
       return List.of();
     }
-    final Map<String, Pool> pools = pools(loads, now);
+    final Map<String, PlannedPool> pools = pools(loads, now);
     final List<Move> ready = new ArrayList<>();
     advanceEmptying(pools, now, ready);
+    if (pools.values().stream().anyMatch(PlannedPool::isRising)) {
+      risingAt = now;
+    }
     fillPools(pools, reserved, now, ready);
-    returnIdle(pools, reserved, now, ready);
+    if (now - risingAt >= KEEP_NANOS) {
+      returnIdle(pools, reserved, now, ready);
+    }
     ready.forEach(move -> moving.add(move.machine().id()));
     return ready;
   }
@@ -134,19 +122,19 @@
     return moving.contains(machine) || emptying.containsKey(machine);
   }
 
-  private Map<String, Pool> pools(final List<PoolLoad> loads, final long now) {
-    final Map<String, Pool> pools = new HashMap<>();
+  private Map<String, PlannedPool> pools(final List<PoolLoad> loads, final long now) {
+    final Map<String, PlannedPool> pools = new HashMap<>();
     final double share = targets.begin(now);
     for (final PoolLoad load : loads) {
       pools.put(
           load.service(),
-          new Pool(
+          new PlannedPool(
               load.service(),
               targets.wantedCpu(load, share),
               Math.max(MIN_WORKERS, load.minWorkers() + 1)));
     }
     for (final Machine machine : machines.all()) {
-      final Pool pool = pools.get(machine.pool());
+      final PlannedPool pool = pools.get(machine.pool());
       if (pool != null && countsFor(machine)) {
         pool.present += machine.capacity().cpuMillis();
         pool.workers++;
@@ -167,7 +155,7 @@
   }
 
   private void advanceEmptying(
-      final Map<String, Pool> pools, final long now, final List<Move> ready) {
+      final Map<String, PlannedPool> pools, final long now, final List<Move> ready) {
     final Iterator<Move> moves = emptying.values().iterator();
     while (moves.hasNext()) {
       final Move move = moves.next();
@@ -179,7 +167,7 @@
         worker.cordoned(false);
         moves.remove();
       } else {
-        final Pool pool = pools.get(move.pool());
+        final PlannedPool pool = pools.get(move.pool());
         if (pool != null) {
           pool.present += machine.capacity().cpuMillis();
           pool.workers++;
@@ -193,24 +181,24 @@
   }
 
   /** A machine stays when its own pool has come to need it more than the other one. */
-  private static boolean isNoLongerWanted(final Move move, final Map<String, Pool> pools) {
-    final Pool from = pools.get(move.machine().pool());
-    final Pool to = pools.get(move.pool());
+  private static boolean isNoLongerWanted(final Move move, final Map<String, PlannedPool> pools) {
+    final PlannedPool from = pools.get(move.machine().pool());
+    final PlannedPool to = pools.get(move.pool());
     return from != null && from.missing() > 0 && (to == null || to.need() < from.need());
   }
 
   private void fillPools(
-      final Map<String, Pool> pools,
+      final Map<String, PlannedPool> pools,
       final Set<String> reserved,
       final long now,
       final List<Move> ready) {
     noteSurplus(pools, now);
-    final List<Pool> needy =
+    final List<PlannedPool> needy =
         pools.values().stream()
             .filter(pool -> pool.missing() > 0)
-            .sorted(Comparator.comparingDouble(Pool::need).reversed())
+            .sorted(Comparator.comparingDouble(PlannedPool::need).reversed())
             .toList();
-    for (final Pool pool : needy) {
+    for (final PlannedPool pool : needy) {
       Machine machine = source(pool, pools, reserved, now);
       while (machine != null && pool.missing() > 0) {
         begin(machine, pool, pools, now, ready);
@@ -219,8 +207,8 @@
     }
   }
 
-  private void noteSurplus(final Map<String, Pool> pools, final long now) {
-    for (final Pool pool : pools.values()) {
+  private void noteSurplus(final Map<String, PlannedPool> pools, final long now) {
+    for (final PlannedPool pool : pools.values()) {
       if (pool.missing() >= 0) {
         surplusSince.remove(pool.name);
       } else {
@@ -231,12 +219,12 @@
 
   private void begin(
       final Machine machine,
-      final Pool pool,
-      final Map<String, Pool> pools,
+      final PlannedPool pool,
+      final Map<String, PlannedPool> pools,
       final long now,
       final List<Move> ready) {
     final long cpu = machine.capacity().cpuMillis();
-    final Pool from = pools.get(machine.pool());
+    final PlannedPool from = pools.get(machine.pool());
     if (from != null) {
       from.present -= cpu;
       from.workers--;
@@ -261,7 +249,10 @@
 
   /** Chooses a machine for a pool: an empty one of a pool with too many, else a spare one. */
   private Machine source(
-      final Pool pool, final Map<String, Pool> pools, final Set<String> reserved, final long now) {
+      final PlannedPool pool,
+      final Map<String, PlannedPool> pools,
+      final Set<String> reserved,
+      final long now) {
     Machine best = null;
     int bestRuns = Integer.MAX_VALUE;
     for (final Machine machine : machines.all()) {
@@ -277,11 +268,12 @@
   }
 
   /** Returns the runs on a machine that may be given away, or the largest number. */
-  private int runsIfGiven(final Machine machine, final Map<String, Pool> pools, final long now) {
+  private int runsIfGiven(
+      final Machine machine, final Map<String, PlannedPool> pools, final long now) {
     if (machine.pool().equals(spare())) {
       return 1;
     }
-    final Pool from = pools.get(machine.pool());
+    final PlannedPool from = pools.get(machine.pool());
     final WorkerState worker = fleet.worker(machine.worker());
     if (from == null
         || worker == null
@@ -294,7 +286,7 @@
   }
 
   private boolean hasTooMany(
-      final Pool pool, final Machine machine, final long now, final long nanos) {
+      final PlannedPool pool, final Machine machine, final long now, final long nanos) {
     final Long since = surplusSince.get(pool.name);
     return since != null
         && now - since >= nanos
@@ -311,7 +303,7 @@
   }
 
   private void returnIdle(
-      final Map<String, Pool> pools,
+      final Map<String, PlannedPool> pools,
       final Set<String> reserved,
       final long now,
       final List<Move> ready) {
@@ -319,7 +311,7 @@
       return;
     }
     for (final Machine machine : List.copyOf(machines.all())) {
-      final Pool pool = pools.get(machine.pool());
+      final PlannedPool pool = pools.get(machine.pool());
       final WorkerState worker = fleet.worker(machine.worker());
       if (pool != null
           && worker != null
--- a/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunLedger.java
@@ -148,9 +148,9 @@
     worker.answering(true);
     boolean mustKeep = false;
     for (final ListedEnd end : list.ended()) {
-      if (end.number() > worker.endsSeen()) {
+      if (end.number() > worker.ends().seen()) {
         mustKeep |= ended(worker, end, now, wallMillis);
-        worker.tookEnd(end.number(), end.task());
+        worker.ends().took(end.number(), end.task());
       }
     }
     final Set<TaskRun> seen = new HashSet<>();
--- a/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WavePlanner.java
@@ -80,6 +80,7 @@
     if (!machines.isKnown()) {
       return ready;
     }
+    moveLastingAhead(wave, now);
     final int free = concurrency(wave, now) - wave.down(machines, blocked);
     int emptying = 0;
     for (final Machine machine :
@@ -95,6 +96,30 @@
     return ready;
   }
 
+  /** Moves tasks that last off the machines of the wave before it is their turn. */
+  private void moveLastingAhead(final Wave wave, final long now) {
+    for (final WorkerState worker : pendingWorkers(wave)) {
+      worker.maintainedSoon(true);
+    }
+    for (final WorkerState worker : pendingWorkers(wave)) {
+      if (worker.isAnswering() && worker.isSynced()) {
+        evacuation.moveLasting(worker, now);
+      }
+    }
+  }
+
+  private List<WorkerState> pendingWorkers(final Wave wave) {
+    final List<WorkerState> workers = new ArrayList<>();
+    for (final String id : wave.request().machines()) {
+      final Machine machine = machines.machine(id);
+      final WorkerState worker = machine == null ? null : fleet.worker(machine.worker());
+      if (worker != null && !wave.ordered().contains(id)) {
+        workers.add(worker);
+      }
+    }
+    return workers;
+  }
+
   /**
    * Ends the emptying of a worker.
    *
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -4,9 +4,7 @@
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.NavigableMap;
 import java.util.Set;
-import java.util.TreeMap;
 import org.lentilsail.model.job.Resources;
 import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
@@ -16,7 +14,7 @@
   private final List<TaskRun> runs = new ArrayList<>();
   private final WorkerClock clock = new WorkerClock();
   private final WorkerHealth health = new WorkerHealth();
-  private final NavigableMap<Long, TaskId> unkeptEnds = new TreeMap<>();
+  private final WorkerEnds ends = new WorkerEnds();
   private final long knownAt;
   private WorkerEntry entry;
   private boolean listed = true;
@@ -26,8 +24,6 @@
   private boolean cordoned;
   private boolean maintainedSoon;
   private long leaseUntil;
-  private long endsSeen;
-  private long endsKept;
   private long noRoomUntil = Long.MIN_VALUE;
   private Resources reserved = Resources.NONE;
 
@@ -214,31 +210,12 @@
   }
 
   /**
-   * Returns the number of the last end that was taken in.
+   * Returns the ends that the worker has listed.
    *
-   * @return the number, 0 before the first one
+   * @return which were taken in and which are kept
    */
-  public long endsSeen() {
-    return endsSeen;
-  }
-
-  /**
-   * Returns the number of the last end whose effect is kept in the store.
-   *
-   * @return the number, 0 before the first one
-   */
-  public long endsKept() {
-    return endsKept;
-  }
-
-  /**
-   * Records that the effect of ends is kept in the store.
-   *
-   * @param number number of the last of them
-   */
-  public void endsKept(final long number) {
-    endsKept = Math.max(endsKept, number);
-    unkeptEnds.headMap(number, true).clear();
+  public WorkerEnds ends() {
+    return ends;
   }
 
   /**
@@ -247,7 +224,7 @@
    * @return tasks with a run here, or with an end whose effect is not kept
    */
   public Set<TaskId> occupants() {
-    final Set<TaskId> tasks = new LinkedHashSet<>(unkeptEnds.values());
+    final Set<TaskId> tasks = new LinkedHashSet<>(ends.unkeptTasks());
     runs.forEach(run -> tasks.add(run.task().id()));
     return tasks;
   }
@@ -259,7 +236,7 @@
    * @return whether nothing runs on it and all its ends are kept
    */
   public boolean isEmpty() {
-    return runs.isEmpty() && endsKept >= endsSeen;
+    return runs.isEmpty() && ends.areKept();
   }
 
   /**
@@ -325,11 +302,6 @@
     synced = true;
   }
 
-  void tookEnd(final long number, final TaskId task) {
-    endsSeen = number;
-    unkeptEnds.put(number, task);
-  }
-
   void add(final TaskRun run) {
     runs.add(run);
     reserved = reserved.plus(run.reserved());
@@ -345,9 +317,7 @@
   void startAnew() {
     clock.reset();
     leaseUntil = 0;
-    endsSeen = 0;
-    endsKept = 0;
-    unkeptEnds.clear();
+    ends.clear();
     synced = false;
   }
 }
--- a/policy/src/test/java/org/lentilsail/policy/job/EvacuationTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/EvacuationTest.java
@@ -37,7 +37,7 @@
   void workerIsEmptyOnceItsEndsAreKept() {
     final WorkerState worker = fixture.fleet.worker("b0");
     assertThat(fixture.evacuation.advance(worker, SECOND, SECOND), is(false));
-    worker.endsKept(worker.endsSeen());
+    worker.ends().keep(worker.ends().seen());
     assertThat(fixture.evacuation.advance(worker, SECOND, SECOND), is(true));
   }
 
@@ -45,7 +45,7 @@
   void idleMachinesMoveOnlyOnceTheirEndsAreKept() {
     planner.plan(loads.measure(SECOND), Set.of(), SECOND);
     assertThat(planner.plan(loads.measure(9 * SECOND), Set.of(), 9 * SECOND), is(empty()));
-    fixture.fleet.workers().forEach(worker -> worker.endsKept(worker.endsSeen()));
+    fixture.fleet.workers().forEach(worker -> worker.ends().keep(worker.ends().seen()));
     final long later = 10 * SECOND;
     assertThat(planner.plan(loads.measure(later), Set.of(), later).isEmpty(), is(false));
   }
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -126,14 +126,14 @@
   /** Ends a run as its worker lists it; the end is kept. */
   void end(final TaskRun run, final RunEnd how, final long now) {
     endWithoutKeeping(run, how, now);
-    run.worker().endsKept(run.worker().endsSeen());
+    run.worker().ends().keep(run.worker().ends().seen());
   }
 
   /** Ends a run as its worker lists it while the store does not answer. */
   void endWithoutKeeping(final TaskRun run, final RunEnd how, final long now) {
     final WorkerState worker = run.worker();
     final ListedEnd end =
-        new ListedEnd(worker.endsSeen() + 1, run.task().id(), run.number(), how, "");
+        new ListedEnd(worker.ends().seen() + 1, run.task().id(), run.number(), how, "");
     final List<ListedRun> running =
         worker.runs().stream()
             .filter(other -> other != run)
--- a/policy/src/test/java/org/lentilsail/policy/job/PoolPlannerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/PoolPlannerTest.java
@@ -76,6 +76,18 @@
     assertThat(plan(4 * SECOND).size(), greaterThan(0));
   }
 
+  /** The turn of one queue begins while that of another ends: it needs its machines soon. */
+  @Test
+  void keepsIdleMachinesWhileTurnOfAnotherQueueBegins() {
+    plan(SECOND);
+    for (int i = 0; i < 4; i++) {
+      fixture.submit("holds", 3 * SECOND, step(6, 24_000, 600));
+    }
+    assertThat(toSpare(plan(4 * SECOND)), is(0L));
+    fixture.place(4 * SECOND);
+    assertThat(toSpare(plan(5 * SECOND)), is(0L));
+  }
+
   @Test
   void oneLargeJobIsNoTurn() {
     plan(0);
@@ -95,6 +107,10 @@
     assertThat(plan(SECOND).size(), greaterThan(2));
   }
 
+  private static long toSpare(final List<PoolPlanner.Move> moves) {
+    return moves.stream().filter(move -> move.pool().equals(SPARE)).count();
+  }
+
   private void turn(final long now) {
     for (int i = 0; i < 12; i++) {
       fixture.submit("holds", now, step(6, 12_000, 600));
--- a/policy/src/test/java/org/lentilsail/policy/job/SchedulerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/SchedulerTest.java
@@ -169,7 +169,7 @@
     final List<Order.Start> starts = fixture.place(0);
     fixture.endWithoutKeeping(starts.get(0).run(), RunEnd.DONE, SECOND);
     assertThat(worker.occupants(), hasSize(2));
-    worker.endsKept(worker.endsSeen());
+    worker.ends().keep(worker.ends().seen());
     assertThat(worker.occupants(), is(Set.of(starts.get(1).run().task().id())));
   }
 
--- a/policy/src/test/java/org/lentilsail/policy/job/WavePlannerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/WavePlannerTest.java
@@ -71,6 +71,24 @@
     assertThat(stops, is(1L));
   }
 
+  /**
+   * Guards against a wave that ends late, because the last machines carry tasks that last and may
+   * only be taken away one after the other.
+   */
+  @Test
+  void movesTasksThatLastAheadOfTheTurnOfTheirMachine() {
+    final Wave wave = wave(1, 4);
+    fixture.submit("holds", 0, JobFixture.lasting(2, 0, 1));
+    fixture.place(0);
+    fixture.worker("other", JobFixture.BOOKING);
+    plan(wave, 3 * SECOND);
+    final List<Order> stops = fixture.ledger.takeOrders();
+    assertThat(stops, hasSize(1));
+    fixture.end(stops.get(0).run(), RunEnd.STOPPED, 4 * SECOND);
+    final List<Order.Start> starts = fixture.place(4 * SECOND);
+    assertThat(starts.get(0).run().worker().id(), is("other"));
+  }
+
   @Test
   void leavesWorkerAloneWhoseRunsAreNotKnown() {
     final Wave wave = wave(1, 1);
--- a/standin/src/main/java/org/lentilsail/standin/process/LinkRelay.java
+++ b/standin/src/main/java/org/lentilsail/standin/process/LinkRelay.java
@@ -113,7 +113,7 @@
     }
   }
 
-  private synchronized long delay() {
+  private synchronized long currentDelay() {
     return delayMillis;
   }
 
@@ -159,7 +159,7 @@
       final byte[] buffer = new byte[READ_BYTES];
       int count = input.read(buffer);
       while (count >= 0) {
-        Thread.sleep(delay());
+        Thread.sleep(currentDelay());
         awaitLink(there);
         output.write(buffer, 0, count);
         output.flush();
