Let the soak know ends that are lost with a worker

Trace: the holder was killed at 438.22 s, worker w4 failed at 438.86 s, the next holder claimed control at 440.29 s. The ends that w4 had listed were acknowledged by nobody and went with it, so their tasks may run again. The check now forgives just these, and only for failures of workers; ends that an order of the holder throws away still count.

--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -80,6 +80,14 @@
     running.clear();
   }
 
+  /** Ends with what it has not been asked for: ends that were not acknowledged are lost. */
+  void fail() {
+    ended.stream()
+        .filter(end -> end.how() == RunEnd.DONE)
+        .forEach(end -> history.endLost(end.task()));
+    crash();
+  }
+
   OrderReply start(final StartOrder order) {
     if (order.token() < token) {
       return reply(OrderAnswer.FENCED);
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -70,6 +70,15 @@
     workers.get(id).crash();
   }
 
+  /**
+   * Ends a worker by a failure of its own: work whose end nobody has acknowledged may run again.
+   *
+   * @param id id of the worker
+   */
+  public void fail(final String id) {
+    workers.get(id).fail();
+  }
+
   /**
    * Cuts the link between a daemon and a worker, or restores it.
    *
