--- a/library/src/main/java/org/lentilsail/jobs/HolderItems.java
+++ b/library/src/main/java/org/lentilsail/jobs/HolderItems.java
@@ -58,6 +58,16 @@
     return commit.when(key, revisions.getOrDefault(key, 0L)).write(key, value, 0);
   }
 
+  /** Adds a removal of an item to a commit. */
+  Commit remove(final Commit commit, final String key) {
+    return commit.when(key, revisions.getOrDefault(key, 0L)).remove(key);
+  }
+
+  /** Tells whether an item is in the store, as far as the holder knows. */
+  boolean isPresent(final String key) {
+    return revisions.containsKey(key);
+  }
+
   /** Takes in the outcome of a commit. */
   Verdict judge(final CommitResult result, final Collection<String> keys) {
     if (result.applied()) {
--- a/library/src/main/java/org/lentilsail/jobs/HolderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/HolderWorkers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.policy.job.Fleet;
@@ -31,6 +32,7 @@
   private final SessionEvents events;
   private final WorkerRegistry registry;
   private final Roster roster;
+  private final Consumer<String> forgotten;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> reported = new HashMap<>();
   private boolean opened;
@@ -44,6 +46,7 @@
       final HolderItems items,
       final SessionEvents events,
       final Runnable loaded,
+      final Consumer<String> forgotten,
       final Runnable superseded) {
     this.parts = parts;
     this.fleet = fleet;
@@ -51,6 +54,7 @@
     this.gate = gate;
     this.items = items;
     this.events = events;
+    this.forgotten = forgotten;
     registry = new WorkerRegistry(parts, this, loaded);
     roster = new Roster(parts, items, this::admitted, superseded);
   }
@@ -76,6 +80,7 @@
       reported.putIfAbsent(entry.id(), entry);
     }
     final long lease = (long) (parts.bounds().maxLeaseMillis() * LEASE_MARGIN * NANOS_PER_MILLI);
+    placed.keySet().stream().filter(id -> !tasks.containsKey(id)).forEach(forgotten);
     gate.close(tasks, claimedAt, lease);
     registry.expect(tasks.keySet());
   }
@@ -197,5 +202,6 @@
     fleet.remove(id);
     roster.remove(id);
     gate.resolved(id);
+    forgotten.accept(id);
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -16,6 +16,7 @@
 import org.lentilsail.policy.job.Scheduler;
 import org.lentilsail.policy.job.WorkerState;
 import org.lentilsail.store.PrefixFollower;
+import org.lentilsail.store.PrefixListener;
 
 /**
  * One tenure of the holder of control: reads what earlier holders kept, asks every worker, and then
@@ -79,7 +80,15 @@
     writer = new ProgressWriter(parts, jobs, items, election::superseded);
     workers =
         new HolderWorkers(
-            parts, fleet, ledger, gate, items, this, this::registryLoaded, election::superseded);
+            parts,
+            fleet,
+            ledger,
+            gate,
+            items,
+            this,
+            this::registryLoaded,
+            this::forgotten,
+            election::superseded);
     placements =
         new Placements(parts, ledger, items, workers::send, this::changed, election::superseded);
     machines =
@@ -94,20 +103,18 @@
             workers::machinesListed);
     housekeeping = new Housekeeping(parts, jobs, fleet, items);
     input = new JobInput(parts, jobs, ledger, this::inputLoaded, this::changed);
-    inputFollower =
-        new PrefixFollower(
-            parts.store(), StoreKeys.INPUT, input, parts.executor(), parts.time(), INPUT_INTERVAL);
+    inputFollower = follower(StoreKeys.INPUT, input, INPUT_INTERVAL);
     registryFollower =
-        new PrefixFollower(
-            parts.store(),
-            parts.documents().workersPrefix(),
-            workers.registry(),
-            parts.executor(),
-            parts.time(),
-            REGISTRY_INTERVAL);
+        follower(parts.documents().workersPrefix(), workers.registry(), REGISTRY_INTERVAL);
     jobs.configuration(configuration);
   }
 
+  private PrefixFollower follower(
+      final String prefix, final PrefixListener listener, final Duration interval) {
+    return new PrefixFollower(
+        parts.store(), prefix, listener, parts.executor(), parts.time(), interval);
+  }
+
   void start() {
     load();
   }
@@ -214,6 +221,10 @@
     openWhenLoaded();
   }
 
+  private void forgotten(final String worker) {
+    placements.forget(worker);
+  }
+
   private void registryLoaded() {
     registryLoaded = true;
     openWhenLoaded();
@@ -253,6 +264,7 @@
       if (isSure()) {
         machines.tick(now, term);
         housekeeping.tick(now);
+        placements.tick(now);
       }
       changed();
     } catch (final RuntimeException error) {
--- a/library/src/main/java/org/lentilsail/jobs/Placements.java
+++ b/library/src/main/java/org/lentilsail/jobs/Placements.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -35,6 +36,9 @@
   /** Pause in ns after a commit that failed. */
   private static final long RETRY_NANOS = 60_000_000L;
 
+  /** Time in ns between removals of the items of workers that have ended. */
+  private static final long REMOVE_NANOS = 1_000_000_000L;
+
   private final ControlParts parts;
   private final RunLedger ledger;
   private final HolderItems items;
@@ -43,7 +47,10 @@
   private final Runnable superseded;
   private final Map<WorkerState, List<Order.Start>> waiting = new LinkedHashMap<>();
   private final Set<WorkerState> underWay = new HashSet<>();
+  private final Set<String> ended = new LinkedHashSet<>();
   private int commits;
+  private boolean removing;
+  private long removedAt = Long.MIN_VALUE / 2;
   private long nextAt = Long.MIN_VALUE / 2;
   private boolean scheduled;
   private boolean closed;
@@ -71,10 +78,48 @@
     flush();
   }
 
+  /** Removes the item of a worker that has ended, at the next tick. */
+  void forget(final String worker) {
+    if (items.isPresent(StoreKeys.placement(worker))) {
+      ended.add(worker);
+    }
+  }
+
+  void tick(final long now) {
+    if (!removing && !ended.isEmpty() && now - removedAt >= REMOVE_NANOS) {
+      removedAt = now;
+      remove(ended.stream().limit(BATCH).toList());
+    }
+  }
+
   void close() {
     closed = true;
   }
 
+  private void remove(final List<String> workers) {
+    removing = true;
+    final List<String> keys = workers.stream().map(StoreKeys::placement).toList();
+    Commit commit = items.begin();
+    for (final String key : keys) {
+      commit = items.remove(commit, key);
+    }
+    parts
+        .store()
+        .commit(commit)
+        .whenCompleteAsync(
+            logged(
+                (result, failure) -> {
+                  removing = false;
+                  if (failure != null) {
+                    parts.log().log("placement-not-removed", "reason", failure.getMessage());
+                  } else if (items.judge(result, keys) == HolderItems.Verdict.MADE) {
+                    keys.forEach(items::forget);
+                    ended.removeAll(workers);
+                  }
+                }),
+            parts.executor());
+  }
+
   private void flush() {
     if (closed || waiting.isEmpty() || commits >= MAX_COMMITS) {
       return;
@@ -126,6 +171,7 @@
     commits++;
     Commit commit = items.begin();
     for (final WorkerState worker : batch.keySet()) {
+      ended.remove(worker.id());
       commit =
           items.write(
               commit,
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -147,6 +147,20 @@
     assertThat(deployment.workers.history().starts(JOB), is(2));
   }
 
+  /** Guards against items of ended workers that make each change of the holder slower. */
+  @Test
+  void placementsOfWorkersThatEndedLeaveTheStore() {
+    deployment.submit(second, JOB, step(2));
+    deployment.advance(Duration.ofSeconds(1));
+    final boolean onFirst = deployment.store.get("at/w1").isPresent();
+    final String used = onFirst ? "w1" : "w2";
+    assertThat(deployment.store.get("at/" + used).isPresent(), is(true));
+    deployment.workers.crash(used);
+    deployment.store.remove("servers/" + used);
+    deployment.advance(Duration.ofSeconds(6));
+    assertThat(deployment.store.get("at/" + used).isPresent(), is(false));
+  }
+
   @Test
   void restartsWorkOfCrashedWorkerAfterItsLease() {
     final String lastingJob = "1000000000000003";
