Count a failed run once, also across a change of the leader

Cause: progress kept how many runs of a task had failed, not which. Progress now keeps the numbers of the failed runs beside their count; documents of earlier versions, with the count only, are still read, and earlier versions still find the count.

RunTrackerTest.failedRunCountsOnceAcrossLeaders fails when the numbers are not restored (2 failures instead of 1) and passes with them.

--- a/model/src/main/java/org/lentilsail/model/job/StepProgress.java
+++ b/model/src/main/java/org/lentilsail/model/job/StepProgress.java
@@ -1,6 +1,8 @@
 package org.lentilsail.model.job;
 
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * Persisted progress of the tasks of one step in one occurrence of a job.
@@ -9,6 +11,8 @@
  * @param step number of the step
  * @param doneBits bit set of the indexes of finished tasks
  * @param failures number of failed runs, by task index
+ * @param failedRuns numbers of the failed runs, by task index, so that a run that is reported again
+ *     to a later leader is not counted twice; absent in documents of earlier versions
  * @param checkpoints last checkpoint, by task index
  */
 public record StepProgress(
@@ -16,12 +20,20 @@
     int step,
     long[] doneBits,
     Map<Integer, Integer> failures,
+    Map<Integer, List<Integer>> failedRuns,
     Map<Integer, String> checkpoints) {
 
   /** Copies the array and the maps to make the progress immutable. */
   public StepProgress {
     doneBits = doneBits.clone();
     failures = Map.copyOf(failures);
+    failedRuns =
+        failedRuns == null
+            ? Map.of()
+            : failedRuns.entrySet().stream()
+                .collect(
+                    Collectors.toUnmodifiableMap(
+                        Map.Entry::getKey, entry -> List.copyOf(entry.getValue())));
     checkpoints = Map.copyOf(checkpoints);
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -237,6 +237,7 @@
         task.restore(
             bits.get(index),
             persisted.failures().getOrDefault(index, 0),
+            persisted.failedRuns().getOrDefault(index, List.of()),
             persisted.checkpoints().getOrDefault(index, ""));
       }
       step.recount();
@@ -297,6 +298,7 @@
   private static void addProgress(final StepRun step, final List<StepProgress> persisted) {
     final BitSet bits = new BitSet(step.tasks().size());
     final Map<Integer, Integer> failures = new HashMap<>();
+    final Map<Integer, List<Integer>> failedRuns = new HashMap<>();
     final Map<Integer, String> checkpoints = new HashMap<>();
     for (final Task task : step.tasks()) {
       final int index = task.id().index();
@@ -305,6 +307,7 @@
       } else {
         if (task.failures() > 0) {
           failures.put(index, task.failures());
+          failedRuns.put(index, task.failedRuns());
         }
         if (!task.checkpoint().isEmpty() && task.runs().isEmpty()) {
           checkpoints.put(index, task.checkpoint());
@@ -314,7 +317,12 @@
     if (!bits.isEmpty() || !failures.isEmpty() || !checkpoints.isEmpty()) {
       persisted.add(
           new StepProgress(
-              step.occurrence(), step.number(), bits.toLongArray(), failures, checkpoints));
+              step.occurrence(),
+              step.number(),
+              bits.toLongArray(),
+              failures,
+              failedRuns,
+              checkpoints));
     }
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -107,7 +107,7 @@
     if (!spec.dataRack().isEmpty() && worker.hasLabel(spec.dataRack())) {
       score += DATA_RACK_SCORE;
     }
-    if (task.failures() > 0 && !worker.health().hasFailures()) {
+    if (task.hasFailed() && !worker.health().hasFailures()) {
       score += NO_FAILURES_SCORE;
     }
     return score;
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -269,7 +269,7 @@
     task.updateCheckpoint(finished.checkpoint());
     switch (finished.outcome()) {
       case DONE -> taskDone(worker, task, wallMillis);
-      case FAILED -> taskFailed(worker, task, now, wallMillis);
+      case FAILED -> taskFailed(worker, task, finished.run(), now, wallMillis);
       default -> stopGangOf(task, finished.outcome());
     }
     return !task.step().spec().longRunning()
@@ -303,14 +303,14 @@
   }
 
   private void taskFailed(
-      final WorkerState worker, final Task task, final long now, final long wallMillis) {
+      final WorkerState worker,
+      final Task task,
+      final int run,
+      final long now,
+      final long wallMillis) {
     final JobRun job = task.step().job();
     worker.health().recordFailure(job.id(), now);
-    if (task.isDone() || job.state().isFinal()) {
-      return;
-    }
-    task.recordFailure(worker.id());
-    if (task.step().spec().longRunning()) {
+    if (task.isDone() || job.state().isFinal() || !task.recordFailure(run, worker.id())) {
       return;
     }
     jobs.markChanged(job);
--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -112,7 +112,7 @@
       }
       Preemption.choose(task, candidates, now)
           .forEach(run -> tracker.stop(run, "preempted by a long-running task"));
-      if (task.failures() == 0) {
+      if (!task.hasFailed()) {
         return;
       }
     }
@@ -138,7 +138,7 @@
     final String checkpoint = gangCheckpoint(step);
     for (int i = 0; i < chosen.size(); i++) {
       final Task task = step.tasks().get(i);
-      task.restore(false, task.failures(), checkpoint);
+      task.replaceCheckpoint(checkpoint);
       final TaskRun run = tracker.start(task, chosen.get(i), number, now);
       number = run.number();
       starts.add(new RunCommand.Start(run));
--- a/policy/src/main/java/org/lentilsail/policy/job/Task.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Task.java
@@ -1,7 +1,10 @@
 package org.lentilsail.policy.job;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.lentilsail.model.job.TaskId;
 
 /** Runtime state of one task and its runs; confined to the control thread. */
@@ -10,7 +13,11 @@
   private final StepRun step;
   private final List<TaskRun> runs = new ArrayList<>(1);
   private boolean done;
-  private int failures;
+  private final Set<Integer> failedRuns = new TreeSet<>();
+
+  /** Failed runs of which only the count was persisted, by an earlier version. */
+  private int unnumberedFailures;
+
   private int lastRunNumber;
   private String checkpoint = "";
   private String lastFailedWorker = "";
@@ -64,7 +71,21 @@
    * @return number of runs that ended with a failure
    */
   public int failures() {
-    return failures;
+    return unnumberedFailures + failedRuns.size();
+  }
+
+  /** Returns whether a run has failed, also one that is not counted. */
+  boolean hasFailed() {
+    return failures() > 0 || !lastFailedWorker.isEmpty();
+  }
+
+  /**
+   * Returns the failed runs whose numbers are known.
+   *
+   * @return the numbers, in ascending order
+   */
+  public List<Integer> failedRuns() {
+    return List.copyOf(failedRuns);
   }
 
   /**
@@ -115,17 +136,35 @@
     done = true;
   }
 
-  void recordFailure(final String worker) {
-    failures++;
+  /**
+   * Records a failed run. A worker reports the run again to a later leader until that leader
+   * acknowledges it.
+   *
+   * @param run number of the run
+   * @param worker id of the worker
+   * @return false if the run was already counted, or is not counted since the task is long-running
+   */
+  boolean recordFailure(final int run, final String worker) {
     lastFailedWorker = worker;
+    return !step.spec().longRunning() && failedRuns.add(run);
   }
 
-  void restore(final boolean wasDone, final int failedRuns, final String savedCheckpoint) {
+  void restore(
+      final boolean wasDone,
+      final int failures,
+      final Collection<Integer> numberedFailures,
+      final String savedCheckpoint) {
     done = wasDone;
-    failures = failedRuns;
+    failedRuns.clear();
+    failedRuns.addAll(numberedFailures);
+    unnumberedFailures = Math.max(0, failures - failedRuns.size());
     checkpoint = savedCheckpoint;
   }
 
+  void replaceCheckpoint(final String value) {
+    checkpoint = value;
+  }
+
   void updateCheckpoint(final String value) {
     if (!value.isEmpty()) {
       checkpoint = value;
--- /dev/null
+++ b/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
@@ -0,0 +1,110 @@
+package org.lentilsail.policy.job;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.lentilsail.policy.job.JobFixture.BOOKING;
+import static org.lentilsail.policy.job.JobFixture.SECOND;
+import static org.lentilsail.policy.job.JobFixture.step;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.lentilsail.model.job.JobProgress;
+import org.lentilsail.model.job.JobState;
+import org.lentilsail.model.job.StepProgress;
+
+/**
+ * Guards against counting a failed run twice. The worker reports a finished run until it is
+ * acknowledged, so a leader that takes over between persisting and acknowledging receives it again;
+ * the job was then failed one attempt early (hunted day of paseos-plata, seed 928110848070).
+ */
+class RunTrackerTest {
+  private static final int FIRST_RUN = 1;
+  private static final int SECOND_RUN = 2;
+
+  /** When the first leader stops, relative to the finished run that it received. */
+  private enum Interruption {
+    BEFORE_PERSISTING,
+    BEFORE_ACKNOWLEDGEMENT
+  }
+
+  private final JobFixture first = new JobFixture();
+  private final JobFixture second = new JobFixture();
+
+  @ParameterizedTest
+  @EnumSource
+  void failedRunCountsOnceAcrossLeaders(final Interruption interruption) {
+    final JobRun job = first.submit("holds", 0, step(1, 1_000, 900));
+    first.worker("b0", BOOKING);
+    final JobProgress before = job.progress();
+    first.place(0);
+    failFirstRun(first, job);
+    final JobProgress persisted =
+        interruption == Interruption.BEFORE_PERSISTING ? before : job.progress();
+
+    final JobRun restored = takeOver(persisted);
+    failFirstRun(second, restored);
+
+    assertThat(failures(restored), is(1));
+    assertThat(restored.state(), is(JobState.RUNNING));
+  }
+
+  @Test
+  void failureOfAnotherRunCounts() {
+    final JobRun job = first.submit("holds", 0, step(1, 1_000, 900));
+    first.worker("b0", BOOKING);
+    first.place(0);
+    failFirstRun(first, job);
+
+    final JobRun restored = takeOver(job.progress());
+    failFirstRun(second, restored);
+    fail(second, restored, SECOND_RUN);
+
+    assertThat(restored.state(), is(JobState.FAILED));
+  }
+
+  @Test
+  void countPersistedByEarlierVersionIsKept() {
+    first.submit("holds", 0, step(1, 1_000, 900));
+    final StepProgress earlier = new StepProgress(0, 0, new long[0], Map.of(0, 1), null, Map.of());
+
+    final JobRun restored = takeOver(new JobProgress(JobState.RUNNING, 0, List.of(earlier)));
+
+    assertThat(failures(restored), is(1));
+    fail(second, restored, SECOND_RUN);
+    assertThat(restored.state(), is(JobState.FAILED));
+  }
+
+  private JobRun takeOver(final JobProgress persisted) {
+    final JobRun job = second.submit("holds", 0, step(1, 1_000, 900));
+    second.worker("b0", BOOKING);
+    second.jobs.restore(job.id(), persisted, 0);
+    return job;
+  }
+
+  private static int failures(final JobRun job) {
+    return job.steps().get(0).tasks().get(0).failures();
+  }
+
+  private static void failFirstRun(final JobFixture fixture, final JobRun job) {
+    fail(fixture, job, FIRST_RUN);
+  }
+
+  private static void fail(final JobFixture fixture, final JobRun job, final int run) {
+    final WorkerState worker = fixture.fleet.worker("b0");
+    final Task task = job.steps().get(0).tasks().get(0);
+    final long sequence = worker.finishedRuns().lastReceived() + 1;
+    fixture.tracker.applyReport(
+        worker,
+        new WorkerReport(
+            1_000,
+            1,
+            List.of(),
+            List.of(new FinishedRun(sequence, task.id(), run, RunOutcome.FAILED, ""))),
+        SECOND,
+        SECOND,
+        0);
+  }
+}
