Set odd entries aside and keep watching after an unexpected error

A listener that threw ended its watch for good, and an exception in a periodic task cancelled it silently, so that a daemon followed nothing while it looked healthy.

--- a/daemon/src/main/java/org/lentilsail/daemon/ConfigurationComponents.java
+++ b/daemon/src/main/java/org/lentilsail/daemon/ConfigurationComponents.java
@@ -1,5 +1,7 @@
 package org.lentilsail.daemon;
 
+import static org.lentilsail.concurrent.Callbacks.loggedTask;
+
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -68,7 +70,10 @@
         .threads()
         .control()
         .scheduleWithFixedDelay(
-            notices::tick, NOTICE_TICK_MILLIS, NOTICE_TICK_MILLIS, TimeUnit.MILLISECONDS);
+            loggedTask("notices", notices::tick),
+            NOTICE_TICK_MILLIS,
+            NOTICE_TICK_MILLIS,
+            TimeUnit.MILLISECONDS);
   }
 
   private void announceLeavingVms(final List<VmReport> list) {
--- a/daemon/src/main/java/org/lentilsail/daemon/KeyTermScheduler.java
+++ b/daemon/src/main/java/org/lentilsail/daemon/KeyTermScheduler.java
@@ -1,5 +1,7 @@
 package org.lentilsail.daemon;
 
+import static org.lentilsail.concurrent.Callbacks.loggedTask;
+
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.lentilsail.config.KeyTerm;
@@ -32,7 +34,8 @@
     shared
         .threads()
         .control()
-        .scheduleWithFixedDelay(this::tick, TICK_SECONDS, TICK_SECONDS, TimeUnit.SECONDS);
+        .scheduleWithFixedDelay(
+            loggedTask("key terms", this::tick), TICK_SECONDS, TICK_SECONDS, TimeUnit.SECONDS);
   }
 
   CompletableFuture<Void> stop() {
--- a/library/src/main/java/org/lentilsail/config/PlatformWatcher.java
+++ b/library/src/main/java/org/lentilsail/config/PlatformWatcher.java
@@ -1,5 +1,7 @@
 package org.lentilsail.config;
 
+import static org.lentilsail.concurrent.Callbacks.loggedTask;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Duration;
@@ -119,7 +121,8 @@
 
   /** Starts to watch or probe the platform periodically. */
   public void start() {
-    control.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    control.scheduleWithFixedDelay(
+        loggedTask("platform watcher", this::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /**
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -1,6 +1,7 @@
 package org.lentilsail.jobs;
 
-import static org.lentilsail.store.Callbacks.logged;
+import static org.lentilsail.concurrent.Callbacks.logged;
+import static org.lentilsail.concurrent.Callbacks.loggedTask;
 
 import java.time.Duration;
 import java.util.concurrent.ScheduledFuture;
@@ -173,7 +174,7 @@
   public void stateChanged() {
     if (open && !passScheduled && !closed) {
       passScheduled = true;
-      context.executor().execute(this::runSchedulingPass);
+      context.executor().execute(loggedTask("scheduling pass", this::runSchedulingPass));
     }
   }
 
@@ -259,25 +260,24 @@
         context
             .executor()
             .scheduleWithFixedDelay(
-                this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                loggedTask("control tick", this::tick),
+                TICK_INTERVAL_MILLIS,
+                TICK_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
     stateChanged();
   }
 
   private void tick() {
-    try {
-      final long now = context.time().nanos();
-      jobs.startDueOccurrences(context.time().wallMillis(), now);
-      workers.tick(now);
-      machines.refresh(now);
-      if (isLeader()) {
-        machines.tick(now, term);
-        housekeeping.tick(now);
-        placements.tick(now);
-      }
-      stateChanged();
-    } catch (final RuntimeException error) {
-      context.log().log("control-tick-failed", "reason", error.toString());
+    final long now = context.time().nanos();
+    jobs.startDueOccurrences(context.time().wallMillis(), now);
+    workers.tick(now);
+    machines.refresh(now);
+    if (isLeader()) {
+      machines.tick(now, term);
+      housekeeping.tick(now);
+      placements.tick(now);
     }
+    stateChanged();
   }
 
   private void runSchedulingPass() {
@@ -285,16 +285,12 @@
     if (closed) {
       return;
     }
-    try {
-      if (isLeader()) {
-        final long now = context.time().nanos();
-        placements.start(scheduler.place(now));
-        advice.ask(now);
-      }
-      runTracker.takeCommands().forEach(workers::send);
-      progressWriter.flush();
-    } catch (final RuntimeException error) {
-      context.log().log("control-pass-failed", "reason", error.toString());
+    if (isLeader()) {
+      final long now = context.time().nanos();
+      placements.start(scheduler.place(now));
+      advice.ask(now);
     }
+    runTracker.takeCommands().forEach(workers::send);
+    progressWriter.flush();
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/JobInput.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobInput.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.JobProgress;
 import org.lentilsail.model.job.SubmittedJob;
 import org.lentilsail.policy.job.JobRegistry;
@@ -53,9 +54,7 @@
 
   @Override
   public void onSnapshot(final List<StoredItem> items) {
-    for (final StoredItem item : items) {
-      applyItem(item, true);
-    }
+    Callbacks.forEach("job input", items, item -> applyItem(item, true));
     loaded.run();
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.JobConfiguration;
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.store.ItemChange;
@@ -107,7 +108,7 @@
 
   @Override
   public void onSnapshot(final List<StoredItem> items) {
-    items.forEach(this::applyItem);
+    Callbacks.forEach("operator item", items, this::applyItem);
   }
 
   @Override
--- a/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
@@ -1,6 +1,6 @@
 package org.lentilsail.jobs;
 
-import static org.lentilsail.store.Callbacks.logged;
+import static org.lentilsail.concurrent.Callbacks.logged;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/library/src/main/java/org/lentilsail/jobs/WorkerRegistry.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerRegistry.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.store.ItemChange;
 import org.lentilsail.store.PrefixListener;
@@ -54,10 +55,13 @@
   @Override
   public void onSnapshot(final List<StoredItem> items) {
     final Set<String> missing = new HashSet<>(registered);
-    for (final StoredItem item : items) {
-      missing.remove(workerId(item.key()));
-      applyEntry(item);
-    }
+    Callbacks.forEach(
+        "worker entry",
+        items,
+        item -> {
+          missing.remove(workerId(item.key()));
+          applyEntry(item);
+        });
     missing.forEach(this::entryMissing);
     loaded.run();
   }
--- a/library/src/main/java/org/lentilsail/platform/LeaseManager.java
+++ b/library/src/main/java/org/lentilsail/platform/LeaseManager.java
@@ -1,5 +1,7 @@
 package org.lentilsail.platform;
 
+import static org.lentilsail.concurrent.Callbacks.loggedTask;
+
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
@@ -79,7 +81,9 @@
 
   /** Starts to acquire and renew a lease. */
   public void start() {
-    ticks = executor.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    ticks =
+        executor.scheduleWithFixedDelay(
+            loggedTask("lease", this::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /**
--- a/library/src/main/java/org/lentilsail/store/PrefixWatcher.java
+++ b/library/src/main/java/org/lentilsail/store/PrefixWatcher.java
@@ -1,6 +1,7 @@
 package org.lentilsail.store;
 
-import static org.lentilsail.store.Callbacks.logged;
+import static org.lentilsail.concurrent.Callbacks.logged;
+import static org.lentilsail.concurrent.Callbacks.loggedTask;
 
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
@@ -105,8 +106,8 @@
                   recordResponse();
                   loaded = true;
                   revision = page.revision();
-                  listener.onSnapshot(page.items());
-                  listener.onBatchEnd();
+                  notify(() -> listener.onSnapshot(page.items()));
+                  notify(listener::onBatchEnd);
                   watch();
                 }),
             executor);
@@ -148,14 +149,19 @@
     }
     revision = Math.max(revision, batch.revision());
     for (final ItemChange change : batch.changes()) {
-      listener.onChange(change);
+      notify(() -> listener.onChange(change));
     }
     if (!batch.changes().isEmpty()) {
-      listener.onBatchEnd();
+      notify(listener::onBatchEnd);
     }
     watch();
   }
 
+  /** Notifies the listener. If it throws, the error is logged and the watch continues. */
+  private void notify(final Runnable notification) {
+    loggedTask("listener of " + prefix, notification).run();
+  }
+
   private void recordResponse() {
     lastResponseAt = time.nanos();
     if (failing) {
