Free machines of earlier leaders sooner, and hand over also when answers are lost

The record now keeps which commands were confirmed, and how long a machine has to be left alone. - Workers that a new leader had not reached counted as capacity of their pool without limit, so that a pool with a zone cut off did not grow. - A leader that resigned revoked its lease once; a refusal counted as done, and a lost call left everybody waiting for the lease of 2 s. The call is repeated every 100 ms until it is confirmed. - A leader that was paused while the record of a command was written sent the command afterwards, also when its lease had run out meanwhile. It checks the lease again now. - A maintenance command of unknown outcome was recorded as confirmed, so that the next leader could count too few machines as down.

--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -102,6 +102,7 @@
             jobs,
             runTracker,
             items,
+            this::isLeader,
             this::stateChanged,
             workers::workerEnded,
             workers::machinesListed);
--- a/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
@@ -30,6 +30,9 @@
    */
   private static final long SUSPENSION_THRESHOLD_NANOS = 400_000_000L;
 
+  /** Time in ms after which an unconfirmed release is repeated. */
+  private static final long RELEASE_RETRY_DELAY_MILLIS = 100;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final KeyValueStore store;
@@ -86,14 +89,33 @@
     renew(leaseGeneration);
   }
 
-  /** Revokes the lease in the store. */
+  /**
+   * Revokes the lease in the store, so that another daemon can claim leadership at once. The call
+   * is repeated until the store confirms it or the lease has expired.
+   */
   void release() {
     if (lease != null) {
-      discard(lease);
+      revoke(lease, time.nanos() + lease.ttlMillis() * NANOS_PER_MILLI);
       forget();
     }
   }
 
+  private void revoke(final GrantedLease granted, final long expiresAt) {
+    final CompletableFuture<Void> revoked = store.revokeLease(granted.id());
+    executor.schedule(
+        () -> {
+          if (!isConfirmed(revoked) && time.nanos() < expiresAt) {
+            revoke(granted, expiresAt);
+          }
+        },
+        RELEASE_RETRY_DELAY_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private static boolean isConfirmed(final CompletableFuture<Void> revoked) {
+    return revoked.isDone() && !revoked.isCompletedExceptionally();
+  }
+
   /** Stops the renewals without revoking the lease in the store. */
   void forget() {
     lease = null;
--- a/library/src/main/java/org/lentilsail/jobs/MachineCommands.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineCommands.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import org.lentilsail.model.job.Machine;
 import org.lentilsail.model.job.MachineState;
 import org.lentilsail.policy.job.MachineInventory;
@@ -34,11 +35,13 @@
 
   private final ControlContext context;
   private final LeaderItems items;
+  private final BooleanSupplier isLeader;
   private final Map<String, String> pending = new HashMap<>();
   private final Map<String, BlockedMachine> blocked = new HashMap<>();
+  private final Map<String, RepeatableCommand> repeatable = new HashMap<>();
   private final List<QueuedCommand> waiting = new ArrayList<>();
   private final Map<String, Long> confirmedAt = new HashMap<>();
-  private MachineCommandsDocument persisted = new MachineCommandsDocument(Map.of(), List.of());
+  private MachineCommandsDocument persisted = MachineCommandsDocument.empty();
   private boolean writeInFlight;
 
   /**
@@ -61,12 +64,14 @@
    *
    * @param worker worker that the command terminates, empty for none or if the command was
    *     confirmed
+   * @param confirmed whether the command was confirmed
    * @param since monotonic time in ns after which a machine list shows whether the command was
    *     executed
    * @param until monotonic time in ns at which the block ends in any case
    * @param leaseUntil monotonic time in ns before which the block does not end
    */
-  private record BlockedMachine(String worker, long since, long until, long leaseUntil) {
+  private record BlockedMachine(
+      String worker, boolean confirmed, long since, long until, long leaseUntil) {
     /** Returns whether the machine list shows that the command was executed. */
     boolean isExecuted(final Machine machine, final long requestedAt) {
       return requestedAt > since
@@ -76,21 +81,35 @@
     }
   }
 
-  MachineCommands(final ControlContext context, final LeaderItems items) {
+  /**
+   * A command of unknown outcome that this leader may repeat, since it has the same effect twice.
+   * For the next leader it is unconfirmed.
+   *
+   * @param worker worker that the command terminates, empty for none
+   * @param until monotonic time in ns after which the command is not executed any more
+   */
+  private record RepeatableCommand(String worker, long until) {}
+
+  MachineCommands(
+      final ControlContext context, final LeaderItems items, final BooleanSupplier isLeader) {
     this.context = context;
     this.items = items;
+    this.isLeader = isLeader;
   }
 
   /** Restores the commands of an earlier leader. */
   void restore(final Optional<StoredItem> item, final long claimedAt) {
-    final long lease = claimedAt + leaseNanos();
     item.flatMap(
             found -> Documents.<MachineCommandsDocument>read(Documents.MACHINE_COMMANDS, found))
         .ifPresent(
             document -> {
               document
                   .answered()
-                  .forEach(id -> blocked.put(id, new BlockedMachine("", claimedAt, lease, lease)));
+                  .forEach(
+                      id -> {
+                        final long until = claimedAt + remaining(document, id, leaseNanos());
+                        blocked.put(id, new BlockedMachine("", true, claimedAt, until, until));
+                      });
               document
                   .unanswered()
                   .forEach(
@@ -98,10 +117,25 @@
                           blocked.put(
                               id,
                               new BlockedMachine(
-                                  worker, claimedAt, claimedAt + UNCONFIRMED_NANOS, lease)));
+                                  worker,
+                                  false,
+                                  claimedAt,
+                                  claimedAt + remaining(document, id, UNCONFIRMED_NANOS),
+                                  claimedAt + leaseNanos())));
             });
   }
 
+  /**
+   * Returns for how many ns a machine stays blocked; a document without the time has the longest.
+   */
+  private static long remaining(
+      final MachineCommandsDocument document, final String machine, final long maxNanos) {
+    final Long millis = document.remainingMillis().get(machine);
+    return millis == null
+        ? maxNanos
+        : Math.min(Math.max(millis, 0), maxNanos / NANOS_PER_MILLI) * NANOS_PER_MILLI;
+  }
+
   /**
    * Marks a machine as having a pending command; returns false if it already has one or is blocked.
    */
@@ -124,10 +158,20 @@
     } else {
       blocked.put(
           machine,
-          new BlockedMachine(worker == null ? "" : worker, now, now + UNCONFIRMED_NANOS, now));
+          new BlockedMachine(
+              worker == null ? "" : worker, false, now, now + UNCONFIRMED_NANOS, now));
     }
   }
 
+  /** Ends a pending command of unknown outcome that this leader is going to repeat. */
+  void endRepeatable(final String machine) {
+    final String worker = pending.remove(machine);
+    repeatable.put(
+        machine,
+        new RepeatableCommand(
+            worker == null ? "" : worker, context.time().nanos() + UNCONFIRMED_NANOS));
+  }
+
   /** Returns the machines that must not receive commands now. */
   Set<String> reserved() {
     final Set<String> reserved = new HashSet<>(pending.keySet());
@@ -151,19 +195,50 @@
                             .getValue()
                             .isExecuted(machines.machine(entry.getKey()), machines.requestedAt()));
     confirmedAt.values().removeIf(at -> now - at >= leaseNanos());
+    repeatable.values().removeIf(command -> now >= command.until());
     final boolean outdated =
-        now - writtenAt >= CLEANUP_INTERVAL_NANOS && !persisted.equals(document());
+        now - writtenAt >= CLEANUP_INTERVAL_NANOS && !persisted.hasSameMachines(document());
     if (!writeInFlight && (!waiting.isEmpty() || outdated)) {
       write(now);
     }
   }
 
   private MachineCommandsDocument document() {
-    final Map<String, String> unanswered = new TreeMap<>(pending);
-    blocked.forEach((id, command) -> unanswered.put(id, command.worker()));
-    final Set<String> answered = new TreeSet<>(confirmedAt.keySet());
+    final long now = context.time().nanos();
+    final Map<String, String> unanswered = new TreeMap<>();
+    final Set<String> answered = new TreeSet<>();
+    final Map<String, Long> remaining = new TreeMap<>();
+    confirmedAt.forEach(
+        (id, at) -> {
+          answered.add(id);
+          remaining.put(id, millis(at + leaseNanos() - now));
+        });
+    blocked.forEach(
+        (id, command) -> {
+          if (command.confirmed()) {
+            answered.add(id);
+          } else {
+            unanswered.put(id, command.worker());
+          }
+          remaining.put(id, millis(command.until() - now));
+        });
+    repeatable.forEach(
+        (id, command) -> {
+          unanswered.put(id, command.worker());
+          remaining.put(id, millis(command.until() - now));
+        });
+    pending.forEach(
+        (id, worker) -> {
+          unanswered.put(id, worker);
+          remaining.put(id, millis(UNCONFIRMED_NANOS));
+        });
     answered.removeAll(unanswered.keySet());
-    return new MachineCommandsDocument(unanswered, List.copyOf(answered));
+    return new MachineCommandsDocument(unanswered, List.copyOf(answered), remaining);
+  }
+
+  /** Converts a time in ns to ms, rounded up. */
+  private static long millis(final long nanos) {
+    return (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
   }
 
   private long leaseNanos() {
@@ -192,7 +267,9 @@
                   if (applied) {
                     persisted = document;
                   }
-                  recorded.forEach(command -> (applied ? command.send() : command.cancel()).run());
+                  // The process may have been paused since the transaction was sent.
+                  final boolean send = applied && isLeader.getAsBoolean();
+                  recorded.forEach(command -> (send ? command.send() : command.cancel()).run());
                 }),
             context.executor());
   }
--- a/library/src/main/java/org/lentilsail/jobs/MachineControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineControl.java
@@ -1,6 +1,7 @@
 package org.lentilsail.jobs;
 
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import org.lentilsail.model.job.WaveRequest;
@@ -23,10 +24,11 @@
       final JobRegistry jobs,
       final RunTracker runTracker,
       final LeaderItems items,
+      final BooleanSupplier isLeader,
       final Runnable stateChanged,
       final Consumer<String> workerEnded,
       final ObjLongConsumer<Set<String>> onMachinesListed) {
-    directory = new MachineDirectory(context, items, onMachinesListed);
+    directory = new MachineDirectory(context, items, isLeader, onMachinesListed);
     waves =
         new WaveRunner(
             context, fleet, jobs, runTracker, directory, items, stateChanged, workerEnded);
--- a/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
@@ -3,6 +3,7 @@
 import static org.lentilsail.concurrent.Callbacks.logged;
 
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.ObjLongConsumer;
 import org.lentilsail.policy.job.MachineInventory;
 
@@ -26,10 +27,11 @@
   MachineDirectory(
       final ControlContext context,
       final LeaderItems items,
+      final BooleanSupplier isLeader,
       final ObjLongConsumer<Set<String>> onListed) {
     this.context = context;
     this.onListed = onListed;
-    this.commands = new MachineCommands(context, items);
+    this.commands = new MachineCommands(context, items, isLeader);
   }
 
   MachineInventory machines() {
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -153,7 +153,11 @@
         .whenCompleteAsync(
             logged(
                 (result, failure) -> {
-                  directory.commands().end(machine, true);
+                  if (result == MachineCommandResult.UNKNOWN) {
+                    directory.commands().endRepeatable(machine);
+                  } else {
+                    directory.commands().end(machine, true);
+                  }
                   if (!closed) {
                     handleResult(maintenance, result);
                   }
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -35,6 +35,9 @@
    */
   private static final long BURST_HOLD_NANOS = 2_000_000_000L;
 
+  /** Time in ns within which a worker usually answers its first poll. */
+  private static final long FIRST_CONTACT_NANOS = 250_000_000L;
+
   /** Minimum workers of a pool; while one is evacuated, long-running tasks need another one. */
   private static final int MIN_WORKERS = 2;
 
@@ -137,7 +140,7 @@
     }
     for (final Machine machine : machines.all()) {
       final PlannedPool pool = pools.get(machine.pool());
-      if (pool != null && countsFor(machine)) {
+      if (pool != null && countsFor(machine, now)) {
         pool.plannedCpu += machine.capacity().cpuMillis();
         pool.workers++;
       }
@@ -145,15 +148,20 @@
     return pools;
   }
 
-  /** Returns whether a machine counts for its pool: present or arriving, not leaving or failed. */
-  private boolean countsFor(final Machine machine) {
+  /**
+   * Returns whether a machine counts for its pool: present or arriving, not leaving or failed. A
+   * worker that a new leader has not reached within the usual time may be cut off.
+   */
+  private boolean countsFor(final Machine machine, final long now) {
     if (isMoving(machine.id()) || machine.state() == MachineState.DOWN) {
       return false;
     }
     final WorkerState worker = fleet.worker(machine.worker());
     return machine.state() != MachineState.UP
         || worker == null
-        || worker.isRegistered() && (worker.isResponding() || !worker.isSynced());
+        || worker.isRegistered()
+            && (worker.isResponding()
+                || !worker.isSynced() && now - worker.firstSeenAt() < FIRST_CONTACT_NANOS);
   }
 
   private void advanceEvacuations(
--- a/policy/src/test/java/org/lentilsail/policy/job/PoolPlannerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/PoolPlannerTest.java
@@ -17,6 +17,8 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Guards against bursts that wait while machines of another pool are idle, and against machines
@@ -107,6 +109,23 @@
     assertThat(plan(SECOND).size(), greaterThan(2));
   }
 
+  /**
+   * A leader that has just opened reaches a part of the workers only, while a zone is cut off. The
+   * others counted as capacity, so that the pool did not grow.
+   */
+  @ParameterizedTest
+  @CsvSource({"100, 0", "400, 2"})
+  void workersThatNewLeaderDoesNotReachAreReplaced(final long millisSinceOpening, final int moves) {
+    for (int i = 0; i < WORKERS - 2; i++) {
+      final WorkerState worker = fixture.fleet.worker("b" + i);
+      worker.reset();
+      worker.responding(false);
+    }
+    fixture.submit("holds", 0, step(14, 16_000, 1_000));
+    fixture.place(0);
+    assertThat(plan(millisSinceOpening * JobFixture.MILLI), hasSize(moves));
+  }
+
   private static long toSpare(final List<PoolPlanner.Move> moves) {
     return moves.stream().filter(move -> move.pool().equals(SPARE)).count();
   }
--- /dev/null
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
@@ -0,0 +1,112 @@
+package org.lentilsail.standin.jobs;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.lentilsail.jobs.JobNode;
+import org.lentilsail.jobs.SubmitOutcome;
+
+/** Guards against harm and delay around the hand-over from one leader to the next. */
+class HandOverTest {
+  private static final String JOB = "00000000000000a1";
+
+  private SimulatedDeployment deployment;
+  private JobNode first;
+  private JobNode second;
+
+  @BeforeEach
+  void start() {
+    deployment = new SimulatedDeployment(task -> 300);
+    deployment.startWorker("w1");
+    first = deployment.startNode("d1");
+    deployment.advance(Duration.ofMillis(500));
+    second = deployment.startNode("d2");
+    deployment.advance(Duration.ofMillis(500));
+  }
+
+  @AfterEach
+  void noTaskRanTwice() {
+    assertThat(deployment.workers.history().violations(), is(empty()));
+    deployment.close();
+  }
+
+  /**
+   * A machine with a confirmed command is left alone until the lease on machines has ended. The
+   * first new leader recorded it as unconfirmed, so the second one left it alone for 15 s, and
+   * while daemons were stopped in turn most machines could not be used.
+   */
+  @Test
+  void confirmedCommandBlocksMachineForOneLeaseAcrossTwoHandOvers() {
+    deployment.startMachine("m0");
+    deployment.startMachine("m1");
+    deployment.store.put(
+        "machine-orders",
+        "{\"unanswered\":{},\"answered\":[\"m0\"]}".getBytes(StandardCharsets.UTF_8));
+    first.resign();
+    deployment.advance(Duration.ofMillis(500));
+    deployment.startNode("d3");
+    deployment.store.put("op/wave/1", "m1".getBytes(StandardCharsets.UTF_8));
+    deployment.advance(Duration.ofMillis(800));
+    assertThat(commandedMachines(), is(List.of("m1")));
+
+    second.resign();
+    deployment.advance(Duration.ofMillis(500));
+    deployment.store.put("op/wave/2", "m0".getBytes(StandardCharsets.UTF_8));
+    deployment.advance(Duration.ofSeconds(4));
+
+    assertThat(commandedMachines(), is(List.of("m1", "m0")));
+  }
+
+  /**
+   * A leader that was paused while the record of its command was written must not send the command
+   * afterwards: the next leader may have sent one to the same machine.
+   */
+  @Test
+  void leaderPausedBeforeSendingCommandDoesNotSendIt() {
+    deployment.startMachine("m0");
+    deployment.store.put("op/wave/1", "m0".getBytes(StandardCharsets.UTF_8));
+    while (!machineCommandIsPersisted()) {
+      deployment.advance(Duration.ofMillis(1));
+    }
+    assertThat(commandedMachines(), is(empty()));
+    deployment.time.advance(Duration.ofSeconds(5));
+    deployment.advance(Duration.ofMillis(10));
+    assertThat(commandedMachines(), is(empty()));
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"REFUSED", "SILENT"})
+  void releaseThatWasLostIsRepeated(final StoreFault fault) {
+    deployment.store.fault("d1", fault);
+    first.resign();
+    deployment.advance(Duration.ofMillis(50));
+    deployment.store.fault("d1", StoreFault.NONE);
+    assertThat(
+        deployment.submit(second, JOB, SimulatedDeployment.step(1)), is(SubmitOutcome.ACCEPTED));
+    deployment.advance(Duration.ofMillis(500));
+    assertThat(deployment.workers.history().starts(JOB), is(1));
+  }
+
+  private boolean machineCommandIsPersisted() {
+    return deployment
+        .store
+        .get("machine-orders")
+        .filter(item -> new String(item.value(), StandardCharsets.UTF_8).contains("m0"))
+        .isPresent();
+  }
+
+  private List<String> commandedMachines() {
+    return deployment.machines.commands().stream()
+        .map(SimulatedMachines.RecordedCommand::machine)
+        .toList();
+  }
+}
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -257,7 +257,7 @@
       return item.key().startsWith("op/wave/")
           ? Optional.of(
               new WaveRequest(
-                  1,
+                  Long.parseLong(item.key().substring("op/wave/".length())),
                   List.of(new String(item.value(), StandardCharsets.UTF_8).split(",")),
                   9_000,
                   1))
