--- a/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
@@ -30,6 +30,12 @@
    */
   private static final long SUSPENSION_THRESHOLD_NANOS = 400_000_000L;
 
+  /**
+   * Interval in ms of renewals while they fail, so that the leader continues soon after an outage
+   * of the store.
+   */
+  private static final long FAILED_RENEWAL_DELAY_MILLIS = 100;
+
   /** Time in ms after which an unconfirmed release is repeated. */
   private static final long RELEASE_RETRY_DELAY_MILLIS = 100;
 
@@ -142,7 +148,7 @@
   private void scheduleRenewal(final int expectedGeneration) {
     executor.schedule(
         () -> renewPeriodically(expectedGeneration),
-        lease.ttlMillis() / RENEWALS_PER_TTL,
+        renewalFailing ? FAILED_RENEWAL_DELAY_MILLIS : lease.ttlMillis() / RENEWALS_PER_TTL,
         TimeUnit.MILLISECONDS);
   }
 
