Shorten the leader's lease to 1.2 s, and prolong runs when renewals are overdue

The lease is 1.2 s now, or the shortest that the store grants (TtlMinMs of the settings). A shorter lease leaves less time to prolong the runs of workers in an outage of the store, so the leader takes an overdue renewal as the sign (450 ms, before: a silent watch of 1.8 s) and polls every worker at once then.

JobNodeTest: the longest fail-over of the tests is 1.8 s instead of 2.6 s. longRunningTasksSurviveStoreOutageOfAllDaemons failed with the short lease alone (4 starts of 2). doesNotRestartTaskThatMayRunOnUnreachableWorkerBefore- LeaseExpiry ran against an empty list of machines, which says that the worker has ended; it passed only because the start came 18 ms after the lease of the run. Its workers are listed now, so that the lease alone decides.

--- a/library/src/main/java/org/lentilsail/jobs/ControlBounds.java
+++ b/library/src/main/java/org/lentilsail/jobs/ControlBounds.java
@@ -9,10 +9,12 @@
  * @param stateRetentionMillis time in ms for which the state of a finished job can be queried
  * @param machineLeaseMillis minimum time in ms between commands of different leaders to the same
  *     machine
+ * @param minStoreLeaseMillis shortest time to live in ms of a lease that the store grants
  */
 public record ControlBounds(
     long maxLeaseMillis,
     long maintenanceMillis,
     long moveMillis,
     long stateRetentionMillis,
-    long machineLeaseMillis) {}
+    long machineLeaseMillis,
+    long minStoreLeaseMillis) {}
--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -105,6 +105,11 @@
     return ownTerm != null && lease.isValid();
   }
 
+  /** Returns whether the store has not confirmed the leadership of this daemon for too long. */
+  boolean isRenewalOverdue() {
+    return lease.isRenewalOverdue();
+  }
+
   /** Reports that a worker has seen a newer token; the lease is suspect until renewed. */
   void suspectLease() {
     lease.suspect();
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -39,6 +39,9 @@
    */
   private static final Duration REGISTRY_WATCH_INTERVAL = Duration.ofMillis(100);
 
+  /** Longest time without a response to a watch request, which waits for at most 1.5 s. */
+  private static final Duration MAX_WATCH_SILENCE = Duration.ofMillis(1_800);
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final ControlContext context;
@@ -65,6 +68,7 @@
   private boolean registryLoaded;
   private boolean open;
   private boolean passScheduled;
+  private boolean storeUnreliable;
   private boolean closed;
 
   JobControl(
@@ -128,7 +132,7 @@
   void resume(final Term current) {
     term = current;
     items.updateTerm(current);
-    workers.resume();
+    workers.pollAll();
     stateChanged();
   }
 
@@ -161,9 +165,8 @@
 
   @Override
   public boolean isStoreUnreliable() {
-    // The store answers a watch within 1.5 s; after 1.8 s without a response it may be unavailable.
-    return context.time().nanos() - inputWatcher.lastResponseAt()
-        > Duration.ofMillis(1_800).toNanos();
+    return election.isRenewalOverdue()
+        || context.time().nanos() - inputWatcher.lastResponseAt() > MAX_WATCH_SILENCE.toNanos();
   }
 
   @Override
@@ -271,6 +274,7 @@
   private void tick() {
     final long now = context.time().nanos();
     jobs.startDueOccurrences(context.time().wallMillis(), now);
+    prolongRunsWhenStoreFails();
     workers.tick(now);
     machines.refresh(now);
     if (isLeader()) {
@@ -281,6 +285,19 @@
     stateChanged();
   }
 
+  /**
+   * Polls all workers as soon as the store seems to fail: a poll extends the leases of their runs
+   * to the longest that workers grant, which is only permitted while the leader lease is still
+   * valid.
+   */
+  private void prolongRunsWhenStoreFails() {
+    final boolean unreliable = isStoreUnreliable();
+    if (unreliable && !storeUnreliable) {
+      workers.pollAll();
+    }
+    storeUnreliable = unreliable;
+  }
+
   private void runSchedulingPass() {
     passScheduled = false;
     if (closed) {
--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -19,8 +19,11 @@
  * thread, except where noted.
  */
 public final class JobNode implements PrefixListener, TermListener {
-  /** Time to live of the leader lease; a killed leader is replaced after it. */
-  private static final Duration LEADER_LEASE = Duration.ofMillis(2_000);
+  /**
+   * Time to live in ms of the leader lease; a killed leader is replaced after it. A short task that
+   * arrives right after the loss of the leader can still meet its latency objective.
+   */
+  private static final long LEADER_LEASE_MILLIS = 1_200;
 
   /** Minimum time between two watch requests for configurations. */
   private static final Duration WATCH_INTERVAL = Duration.ofMillis(5);
@@ -54,7 +57,8 @@
             context.executor(),
             context.time(),
             context.log(),
-            LEADER_LEASE,
+            Duration.ofMillis(
+                Math.max(LEADER_LEASE_MILLIS, context.bounds().minStoreLeaseMillis())),
             new CapacityPreference(cpuMillis),
             this);
     this.operatorWatcher =
--- a/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
@@ -90,6 +90,16 @@
         && wallElapsed - monotonicElapsed < SUSPENSION_THRESHOLD_NANOS;
   }
 
+  /**
+   * Returns whether the store has not confirmed a renewal for longer than usual. The lease may
+   * still be valid.
+   */
+  boolean isRenewalOverdue() {
+    return lease != null
+        && time.nanos() - renewedAt
+            > lease.ttlMillis() * NANOS_PER_MILLI / RENEWALS_PER_TTL + SAFETY_MARGIN_NANOS;
+  }
+
   void suspect() {
     suspected = true;
     renew(leaseGeneration);
--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -94,8 +94,8 @@
     List.copyOf(knownWorkers.values()).forEach(roster::admit);
   }
 
-  /** Polls all workers after leadership has continued in a later term. */
-  void resume() {
+  /** Polls all workers at once, in addition to polls that wait there. */
+  void pollAll() {
     sessions.values().forEach(WorkerSession::poll);
   }
 
--- a/library/src/test/java/org/lentilsail/jobs/WorkerCommandsTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/WorkerCommandsTest.java
@@ -115,7 +115,7 @@
         time,
         log,
         new JobMetrics(new PrometheusRegistry()),
-        new ControlBounds(6_000, 2_000, 1_500, 120_000, 3_000));
+        new ControlBounds(6_000, 2_000, 1_500, 120_000, 3_000, 1_000));
   }
 
   /** Counts starts and never replies. */
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -124,6 +124,8 @@
   @Test
   void doesNotRestartTaskThatMayRunOnUnreachableWorkerBeforeLeaseExpiry() {
     final String longRunningJob = "1000000000000002";
+    deployment.startMachineOf("w1");
+    deployment.startMachineOf("w2");
     deployment.submit(second, longRunningJob, longRunning(2));
     deployment.advance(Duration.ofMillis(200));
     deployment.workers.cut("d2", "w1", true);
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -46,7 +46,7 @@
   static final String QUEUE = "holds";
 
   /** Duration of the leader's lease, with additional time to claim leadership and to load state. */
-  static final Duration FAIL_OVER = Duration.ofMillis(2_600);
+  static final Duration FAIL_OVER = Duration.ofMillis(1_800);
 
   /** Maximum duration in ms of a worker's lease, as in the users' deployments. */
   static final long MAX_LEASE_MILLIS = 6_000;
@@ -108,7 +108,7 @@
                 time,
                 log,
                 new JobMetrics(new PrometheusRegistry()),
-                new ControlBounds(MAX_LEASE_MILLIS, 2_000, 1_500, 120_000, 3_000)),
+                new ControlBounds(MAX_LEASE_MILLIS, 2_000, 1_500, 120_000, 3_000, 1_000)),
             daemon,
             cpuMillis);
     nodes.put(daemon, node);
@@ -135,9 +135,18 @@
 
   /** Adds a machine without a worker. */
   void startMachine(final String id) {
+    startMachine(id, "spare", "");
+  }
+
+  /** Adds a machine that hosts a worker, so that the list of machines shows that it runs. */
+  void startMachineOf(final String worker) {
+    startMachine("m-" + worker, SERVICE, worker);
+  }
+
+  private void startMachine(final String id, final String pool, final String worker) {
     machines.put(
         new Machine(
-            id, "spare", MachineState.UP, "north", List.of(), new Resources(8_000, 8_000, 0), ""));
+            id, pool, MachineState.UP, "north", List.of(), new Resources(8_000, 8_000, 0), worker));
   }
 
   /** Disconnects a daemon from the store and from all workers, like a lost VM. */
