Repeat the release of the leader's lease until the store confirms it

Cause: the release was repeated for the time to live of the lease only, but leases may pause while the store is down. It is repeated for up to 10 s now.

LeaderLeaseTest.isReleasedSoonAfterOutageOfTheStore fails on the code before.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
@@ -39,6 +39,9 @@
   /** Time in ms after which an unconfirmed release is repeated. */
   private static final long RELEASE_RETRY_DELAY_MILLIS = 100;
 
+  /** Time in ns after which an unconfirmed release is abandoned; longer than a usual outage. */
+  private static final long MAX_RELEASE_NANOS = 10_000_000_000L;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final KeyValueStore store;
@@ -107,21 +110,21 @@
 
   /**
    * Revokes the lease in the store, so that another daemon can claim leadership at once. The call
-   * is repeated until the store confirms it or the lease has expired.
+   * is repeated until the store confirms it; the lease may not expire while the store is down.
    */
   void release() {
     if (lease != null) {
-      revoke(lease, time.nanos() + lease.ttlMillis() * NANOS_PER_MILLI);
+      revoke(lease, time.nanos() + MAX_RELEASE_NANOS);
       forget();
     }
   }
 
-  private void revoke(final GrantedLease granted, final long expiresAt) {
+  private void revoke(final GrantedLease granted, final long until) {
     final CompletableFuture<Void> revoked = store.revokeLease(granted.id());
     executor.schedule(
         () -> {
-          if (!isConfirmed(revoked) && time.nanos() < expiresAt) {
-            revoke(granted, expiresAt);
+          if (!isConfirmed(revoked) && time.nanos() < until) {
+            revoke(granted, until);
           }
         },
         RELEASE_RETRY_DELAY_MILLIS,
--- a/library/src/test/java/org/lentilsail/jobs/LeaderLeaseTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/LeaderLeaseTest.java
@@ -36,6 +36,7 @@
   private final LeaderLease lease =
       new LeaderLease(store(), executor, time, log, TIME_TO_LIVE, () -> {});
   private boolean storeRefuses;
+  private boolean released;
 
   @BeforeEach
   void hold() {
@@ -66,18 +67,32 @@
     assertThat(lease.isValid(), is(false));
   }
 
+  /** A leader that resigns during an outage in which its lease does not expire. */
+  @Test
+  void isReleasedSoonAfterOutageOfTheStore() {
+    storeRefuses = true;
+    lease.release();
+    executor.advance(Duration.ofSeconds(3));
+    assertThat(released, is(false));
+    storeRefuses = false;
+    executor.advance(ONE_RETRY);
+    assertThat(released, is(true));
+  }
+
   private KeyValueStore store() {
     return (KeyValueStore)
         Proxy.newProxyInstance(
             KeyValueStore.class.getClassLoader(),
             new Class<?>[] {KeyValueStore.class},
-            (proxy, method, arguments) -> renewal());
+            (proxy, method, arguments) -> answer(method.getName()));
   }
 
-  private CompletableFuture<Boolean> renewal() {
-    return storeRefuses
-        ? CompletableFuture.failedFuture(
-            new LentilsailException(ErrorCode.PLATFORM_UNAVAILABLE, "refused", "wait"))
-        : CompletableFuture.completedFuture(true);
+  private CompletableFuture<?> answer(final String call) {
+    if (storeRefuses) {
+      return CompletableFuture.failedFuture(
+          new LentilsailException(ErrorCode.PLATFORM_UNAVAILABLE, "refused", "wait"));
+    }
+    released |= call.equals("revokeLease");
+    return CompletableFuture.completedFuture(call.equals("renewLease") ? true : null);
   }
 }
