Open control also when own items of the store are spoiled

Cause: one item under lentilsail's own keys that another writer has spoiled (a port out of range in the roster, a wave without a number, progress of a step that does not exist) threw while a new leader restored its state, and the leader kept its lease without ever opening; progress of occurrence 2^31-2 allocated until memory ran out. A spoiled term left no daemon able to claim leadership.

Each item is now restored by itself and set aside with a log line when it can't be; records check what they need; the revision of a spoiled term stands for its number. Run numbers no longer become negative from term 214,749 on.

SpoiledItemsTest (20 cases): the code before ran out of heap in it, after four kinds of exceptions.

--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -154,8 +154,7 @@
     if (key.equals(StoreKeys.LEADER)) {
       leaderPresent = item.isPresent();
     } else if (key.equals(StoreKeys.TERM) && item.isPresent()) {
-      Documents.<TermDocument>read(Documents.TERM, item.get())
-          .ifPresent(document -> handleTerm(document, item.get().revision()));
+      handleTerm(TermDocument.read(item.get()), item.get().revision());
     } else if (key.equals(StoreKeys.OFFER) && item.isPresent()) {
       Documents.<OfferDocument>read(Documents.OFFER, item.get()).ifPresent(this::handleOffer);
     }
@@ -296,7 +295,7 @@
       final GrantedLease granted, final long sentAt, final long termNumber, final String claimId) {
     store
         .get(StoreKeys.LEADER)
-        .thenCombine(store.get(StoreKeys.TERM), Claimed::new)
+        .thenCombine(store.get(StoreKeys.TERM), ClaimItems::new)
         .whenCompleteAsync(
             logged(
                 (claimed, failure) -> {
@@ -310,20 +309,6 @@
             executor);
   }
 
-  /**
-   * The items of a claim as read back after an unconfirmed transaction.
-   *
-   * @param leader the leader item
-   * @param term the term item
-   */
-  private record Claimed(Optional<StoredItem> leader, Optional<StoredItem> term) {
-    boolean hasClaimId(final String claimId) {
-      return term.isPresent()
-          && leader.isPresent()
-          && new String(leader.get().value(), StandardCharsets.UTF_8).equals(claimId);
-    }
-  }
-
   private void claimSucceeded(
       final GrantedLease granted, final long sentAt, final long termNumber, final long revision) {
     claiming = false;
--- a/library/src/main/java/org/lentilsail/jobs/JobInput.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobInput.java
@@ -74,6 +74,7 @@
       cancel(id);
     } else if (jobs.job(id) == null) {
       Documents.<SubmittedJob>read(Documents.SUBMISSION, item)
+          .filter(job -> job.spec().id().equals(id))
           .ifPresent(job -> accept(job, fromSnapshot));
     }
   }
--- a/library/src/main/java/org/lentilsail/jobs/PersistedState.java
+++ b/library/src/main/java/org/lentilsail/jobs/PersistedState.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.store.ItemPage;
@@ -49,10 +50,13 @@
 
   /** Returns the workers that may have been assigned tasks. */
   List<WorkerEntry> members() {
-    return roster
+    final List<WorkerEntry> members = new ArrayList<>();
+    roster
         .flatMap(item -> Documents.<RosterDocument>read(Documents.ROSTER, item))
-        .map(document -> document.workers().stream().map(RosterDocument.Row::entry).toList())
-        .orElse(List.of());
+        .ifPresent(
+            document ->
+                Callbacks.forEach("roster", document.workers(), row -> members.add(row.entry())));
+    return members;
   }
 
   /** Returns the tasks that workers may have been assigned, by worker id. */
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.policy.job.Evacuation;
 import org.lentilsail.policy.job.Fleet;
@@ -64,14 +65,16 @@
 
   /** Restores which machines earlier leaders have maintained. */
   void restore(final List<StoredItem> items) {
-    for (final StoredItem item : items) {
-      final long number = Long.parseLong(item.key().substring(StoreKeys.WAVES.length()));
-      Documents.<WaveDocument>read(Documents.WAVE, item)
-          .ifPresent(document -> persistedMachines.put(number, document.machines()));
-    }
+    Callbacks.forEach("persisted wave", items, this::restore);
     waves.values().forEach(this::markPersistedMachines);
   }
 
+  private void restore(final StoredItem item) {
+    final long number = Long.parseLong(item.key().substring(StoreKeys.WAVES.length()));
+    Documents.<WaveDocument>read(Documents.WAVE, item)
+        .ifPresent(document -> persistedMachines.put(number, document.machines()));
+  }
+
   private void markPersistedMachines(final Wave wave) {
     final long earliestReturn =
         context.time().nanos() + context.bounds().maintenanceMillis() * NANOS_PER_MILLI;
--- a/model/src/main/java/org/lentilsail/model/job/JobProgress.java
+++ b/model/src/main/java/org/lentilsail/model/job/JobProgress.java
@@ -1,6 +1,7 @@
 package org.lentilsail.model.job;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * Persisted progress of a job.
@@ -12,8 +13,9 @@
  */
 public record JobProgress(JobState state, long finishedMillis, List<StepProgress> steps) {
 
-  /** Copies the list to make the progress immutable. */
+  /** Checks the state, and copies the list to make the progress immutable. */
   public JobProgress {
+    Objects.requireNonNull(state, "state");
     steps = List.copyOf(steps);
   }
 }
--- a/model/src/main/java/org/lentilsail/model/job/JobSpec.java
+++ b/model/src/main/java/org/lentilsail/model/job/JobSpec.java
@@ -1,6 +1,7 @@
 package org.lentilsail.model.job;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * Specification of a submitted job. Each execution of a scheduled job is an occurrence.
@@ -20,8 +21,9 @@
     long firstRunMillis,
     long intervalMillis) {
 
-  /** Copies the list to make the specification immutable. */
+  /** Checks the id, and copies the list to make the specification immutable. */
   public JobSpec {
+    Objects.requireNonNull(id, "id");
     steps = List.copyOf(steps);
   }
 
--- a/model/src/main/java/org/lentilsail/model/job/StepSpec.java
+++ b/model/src/main/java/org/lentilsail/model/job/StepSpec.java
@@ -1,6 +1,7 @@
 package org.lentilsail.model.job;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * Specification of a step of a job, which consists of identical tasks.
@@ -44,8 +45,15 @@
     boolean fills,
     int mayMiss) {
 
-  /** Copies the list to make the specification immutable. */
+  /** Maximum number of tasks of a step, which limits the memory that a job can use. */
+  public static final int MAX_COUNT = 100_000;
+
+  /** Checks the number of tasks, and copies the list to make the specification immutable. */
   public StepSpec {
+    if (count < 1 || count > MAX_COUNT) {
+      throw new IllegalArgumentException("a step has 1 to " + MAX_COUNT + " tasks, not " + count);
+    }
+    Objects.requireNonNull(demand, "demand");
     after = List.copyOf(after);
   }
 
--- a/model/src/main/java/org/lentilsail/model/job/SubmittedJob.java
+++ b/model/src/main/java/org/lentilsail/model/job/SubmittedJob.java
@@ -1,5 +1,7 @@
 package org.lentilsail.model.job;
 
+import java.util.Objects;
+
 /**
  * An accepted job as it is persisted.
  *
@@ -8,4 +10,12 @@
  * @param acceptedMillis wall clock time of the acceptance in ms since the Unix epoch
  * @param spec the job
  */
-public record SubmittedJob(String queue, String service, long acceptedMillis, JobSpec spec) {}
+public record SubmittedJob(String queue, String service, long acceptedMillis, JobSpec spec) {
+
+  /** Checks that nothing is missing. */
+  public SubmittedJob {
+    Objects.requireNonNull(queue, "queue");
+    Objects.requireNonNull(service, "service");
+    Objects.requireNonNull(spec, "spec");
+  }
+}
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -227,6 +227,9 @@
       markRunning();
     }
     for (final StepProgress persisted : progress.steps()) {
+      if (!hasStep(persisted)) {
+        continue;
+      }
       while (nextOccurrence <= persisted.occurrence()) {
         startOccurrence(nextOccurrence, now);
       }
@@ -252,6 +255,16 @@
     }
   }
 
+  /**
+   * Returns whether persisted progress belongs to a step and an occurrence that the job can have.
+   */
+  private boolean hasStep(final StepProgress persisted) {
+    return persisted.occurrence() >= 0
+        && persisted.occurrence() < Math.max(1, submitted.spec().maxRuns())
+        && persisted.step() >= 0
+        && persisted.step() < submitted.spec().steps().size();
+  }
+
   void markRunning() {
     started = true;
     if (state == JobState.PENDING) {
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -50,7 +50,7 @@
   private final Evacuation evacuation;
   private final PoolTargets targets = new PoolTargets();
   private final Map<String, Move> evacuating = new HashMap<>();
-  private final Map<String, Long> surplusSince = new HashMap<>();
+  private final PoolSurplus surplus = new PoolSurplus();
   private final Set<String> moving = new HashSet<>();
   private long burstAt = Long.MIN_VALUE / 2;
 
@@ -204,7 +204,7 @@
       final Set<String> reserved,
       final long now,
       final List<Move> ready) {
-    updateSurplus(pools, now);
+    surplus.update(pools.values(), now);
     final List<PlannedPool> inDeficit =
         pools.values().stream()
             .filter(pool -> pool.deficit() > 0)
@@ -219,16 +219,6 @@
     }
   }
 
-  private void updateSurplus(final Map<String, PlannedPool> pools, final long now) {
-    for (final PlannedPool pool : pools.values()) {
-      if (pool.deficit() >= 0) {
-        surplusSince.remove(pool.name);
-      } else {
-        surplusSince.putIfAbsent(pool.name, now);
-      }
-    }
-  }
-
   /** Starts a move; a null pool means the spare pool. */
   private void startMove(
       final Machine machine,
@@ -295,22 +285,13 @@
     if (from == null
         || worker == null
         || !worker.isSynced()
-        || !hasSurplus(from, machine, now, SURPLUS_NANOS)
+        || !surplus.covers(from, machine, SURPLUS_NANOS, now)
         || evacuating.size() >= MAX_EVACUATING && !worker.runs().isEmpty()) {
       return Integer.MAX_VALUE;
     }
     return worker.runs().isEmpty() ? 0 : 1 + worker.runs().size();
   }
 
-  private boolean hasSurplus(
-      final PlannedPool pool, final Machine machine, final long now, final long nanos) {
-    final Long since = surplusSince.get(pool.name);
-    return since != null
-        && now - since >= nanos
-        && pool.workers > pool.minWorkers
-        && pool.plannedCpu - machine.capacity().cpuMillis() >= pool.targetCpu;
-  }
-
   private boolean isMovable(final Machine machine, final Set<String> reserved) {
     final WorkerState worker = fleet.worker(machine.worker());
     return machine.state() == MachineState.UP
@@ -337,7 +318,7 @@
           && worker.runs().stream().allMatch(TaskRun::isLongRunning)
           && evacuating.size() < MAX_EVACUATING
           && now - worker.firstSeenAt() >= MIN_STAY_NANOS
-          && hasSurplus(pool, machine, now, RETURN_NANOS)) {
+          && surplus.covers(pool, machine, RETURN_NANOS, now)) {
         startMove(machine, null, pools, now, ready);
       }
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/RunNumbers.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunNumbers.java
@@ -13,8 +13,11 @@
    */
   private static final int RUNS_PER_TERM = 10_000;
 
+  /** Highest number at which the range of a term begins; later terms share the last range. */
+  private static final int MAX_BASE = 2_000_000_000;
+
   int nextAfter(final int lastUsed) {
-    final long base = (term - 1) * RUNS_PER_TERM;
+    final long base = Math.min(term - 1, MAX_BASE / RUNS_PER_TERM) * RUNS_PER_TERM;
     return (int) Math.max(lastUsed, base) + 1;
   }
 }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -135,15 +135,15 @@
 
   /** Adds a machine without a worker. */
   void startMachine(final String id) {
-    startMachine(id, "spare", "");
+    addMachine(id, "spare", "");
   }
 
   /** Adds a machine that hosts a worker, so that the list of machines shows that it runs. */
   void startMachineOf(final String worker) {
-    startMachine("m-" + worker, SERVICE, worker);
+    addMachine("m-" + worker, SERVICE, worker);
   }
 
-  private void startMachine(final String id, final String pool, final String worker) {
+  private void addMachine(final String id, final String pool, final String worker) {
     machines.put(
         new Machine(
             id, pool, MachineState.UP, "north", List.of(), new Resources(8_000, 8_000, 0), worker));
--- /dev/null
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SpoiledItemsTest.java
@@ -0,0 +1,82 @@
+package org.lentilsail.standin.jobs;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.lentilsail.standin.jobs.SimulatedDeployment.step;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.lentilsail.jobs.JobNode;
+import org.lentilsail.model.job.JobState;
+
+/**
+ * Guards against a leader that never opens, or that ends, because another writer has spoiled an
+ * item of lentilsail in the store.
+ */
+class SpoiledItemsTest {
+  private static final String JOB = "00000000000000a1";
+
+  private SimulatedDeployment deployment;
+  private JobNode first;
+  private JobNode second;
+
+  @BeforeEach
+  void start() {
+    deployment = new SimulatedDeployment(task -> 300);
+    deployment.startWorker("w1");
+    first = deployment.startNode("d1");
+    deployment.advance(Duration.ofMillis(500));
+    second = deployment.startNode("d2");
+    deployment.advance(Duration.ofMillis(500));
+  }
+
+  @AfterEach
+  void noTaskRanTwice() {
+    assertThat(deployment.workers.history().violations(), is(empty()));
+    deployment.close();
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '"',
+      value = {
+        "wave/x | {'machines':['m0']}",
+        "wave/1 | {'machines':[null]}",
+        "wave/1 | []",
+        "roster | {'workers':[{'id':'w9','service':'s','host':'10.0.0.9','port':70000}]}",
+        "roster | {'workers':[null]}",
+        "roster | {'workers':7}",
+        "machine-orders | {'unanswered':null,'answered':null}",
+        "machine-orders | {'unanswered':{'m0':'w9'},'answered':[],'remainingMillis':{'m0':-7}}",
+        "at/w9 | {'tasks':['x','1.2.3.99999999999']}",
+        "at/w9 | 1e400",
+        "waiting | {'jobs':{'holds':1e400}}",
+        "lead/offer | {'term':'x'}",
+        "lead/term | spoiled",
+        "lead/term | {'term':9223372036854775807,'holder':'d9','processor':750}",
+        "in/short | {}",
+        "in/00000000000000b1/s | {'queue':'holds','service':'booking','spec':null}",
+        "in/00000000000000b1/s | {'queue':'q','service':'s','spec':{'id':'x','steps':[]}}",
+        "p/00000000000000a1 | {'state':null,'steps':[]}",
+        "p/00000000000000a1 | {'state':'RUNNING','steps':[{'occurrence':2147483646,'step':0,"
+            + "'doneBits':[],'failures':{},'checkpoints':{}}]}",
+        "p/00000000000000a1 | {'state':'RUNNING','steps':[{'occurrence':0,'step':9,'doneBits':[],"
+            + "'failures':{},'checkpoints':{}}]}"
+      })
+  void nextLeaderOpensAndRunsJobs(final String key, final String value) {
+    deployment.store.put(key, value.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+    deployment.advance(Duration.ofMillis(500));
+    first.resign();
+    deployment.advance(Duration.ofMillis(500));
+    deployment.submit(second, JOB, step(2));
+    deployment.advance(Duration.ofSeconds(8));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+}
