--- a/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
@@ -27,16 +27,14 @@
   void start() {
     deployment = new SimulatedDeployment(task -> 300);
     deployment.startWorker("w1");
-    first = deployment.startNode("d1");
-    deployment.advance(Duration.ofMillis(500));
-    second = deployment.startNode("d2");
-    deployment.advance(Duration.ofMillis(500));
+    final List<JobNode> nodes = deployment.startNodes("d1", "d2");
+    first = nodes.get(0);
+    second = nodes.get(1);
   }
 
   @AfterEach
   void noTaskRanTwice() {
-    assertThat(deployment.workers.history().violations(), is(empty()));
-    deployment.close();
+    deployment.closeAndCheckRuns();
   }
 
   /**
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -2,7 +2,6 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsInAnyOrder;
-import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -39,16 +38,14 @@
     deployment = new SimulatedDeployment(task -> task.job().startsWith("1") ? 0 : TASK_MILLIS);
     deployment.startWorker("w1");
     deployment.startWorker("w2");
-    first = deployment.startNode("d1");
-    deployment.advance(Duration.ofMillis(500));
-    second = deployment.startNode("d2");
-    deployment.advance(Duration.ofMillis(500));
+    final List<JobNode> nodes = deployment.startNodes("d1", "d2");
+    first = nodes.get(0);
+    second = nodes.get(1);
   }
 
   @AfterEach
   void noTaskRanTwice() {
-    assertThat(deployment.workers.history().violations(), is(empty()));
-    deployment.close();
+    deployment.closeAndCheckRuns();
   }
 
   @Test
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -1,5 +1,9 @@
 package org.lentilsail.standin.jobs;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -87,6 +91,16 @@
     store.put("op/config", "configuration".getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Starts daemons of the default size one after the other, so that the first one leads. */
+  List<JobNode> startNodes(final String... daemons) {
+    final List<JobNode> started = new ArrayList<>();
+    for (final String daemon : daemons) {
+      started.add(startNode(daemon));
+      advance(Duration.ofMillis(500));
+    }
+    return started;
+  }
+
   /** Starts a daemon on a VM of the default size. */
   JobNode startNode(final String daemon) {
     return startNode(daemon, 750);
@@ -192,6 +206,12 @@
     logs.forEach(DecisionLog::close);
   }
 
+  /** Closes the deployment and asserts that no task ran twice. */
+  void closeAndCheckRuns() {
+    close();
+    assertThat(workers.history().violations(), is(empty()));
+  }
+
   static StepSpec step(final int count, final Integer... after) {
     return spec(count, List.of(after), false, false);
   }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SpoiledItemsTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SpoiledItemsTest.java
@@ -1,12 +1,12 @@
 package org.lentilsail.standin.jobs;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 import static org.lentilsail.standin.jobs.SimulatedDeployment.step;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -30,16 +30,14 @@
   void start() {
     deployment = new SimulatedDeployment(task -> 300);
     deployment.startWorker("w1");
-    first = deployment.startNode("d1");
-    deployment.advance(Duration.ofMillis(500));
-    second = deployment.startNode("d2");
-    deployment.advance(Duration.ofMillis(500));
+    final List<JobNode> nodes = deployment.startNodes("d1", "d2");
+    first = nodes.get(0);
+    second = nodes.get(1);
   }
 
   @AfterEach
   void noTaskRanTwice() {
-    assertThat(deployment.workers.history().violations(), is(empty()));
-    deployment.close();
+    deployment.closeAndCheckRuns();
   }
 
   @ParameterizedTest
