Review case 5: a job that can never be done is never answered

The rule is LOST: a job whose turn has come doesn't stand still while its service is idle. Four of 400 jobs can never be done, the last of all being one of them. Its last attempt is never started, because every worker has a failed run since its last success, and the job stays running for good.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without
+# the disruption. Build before: the command of the deploy file, then review/build.sh.
+cd "$(dirname "$0")" || exit 2
+root=$(cd ../.. && pwd)
+if [ ! -d ../target/classes ] || [ -z "$(ls "$root"/platform/target/*-all.jar 2>/dev/null)" ]; then
+  echo "build the project and review/build.sh first" >&2
+  exit 2
+fi
+exec java -cp ../target/classes review.Cases hopeless "$root" "$PWD"
