--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,8 +3,13 @@
 # the disruption. Build before: the command of the deploy file, then review/build.sh.
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
-if [ ! -d ../target/classes ] || [ -z "$(ls "$root"/platform/target/*-all.jar 2>/dev/null)" ]; then
+if [ ! -f ../target/classes/review/Cases.class ] || [ -z "$(ls "$root"/platform/target/*-all.jar 2>/dev/null)" ]; then
   echo "build the project and review/build.sh first" >&2
   exit 2
 fi
-exec java -cp ../target/classes review.Cases hopeless "$root" "$PWD"
+java -cp ../target/classes review.Cases hopeless "$root" "$PWD"
+case $? in
+  0) exit 0 ;;
+  11) exit 1 ;;
+  *) exit 2 ;;
+esac
