--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
@@ -0,0 +1,102 @@
+package org.lentilsail.policy.job;
+
+import java.util.List;
+import org.lentilsail.model.job.JobState;
+
+/**
+ * Applies the finished runs that workers report to their tasks and jobs. Confined to the control
+ * thread.
+ */
+final class FinishedRunProcessor {
+  private final JobRegistry jobs;
+  private final RunTracker tracker;
+
+  FinishedRunProcessor(final JobRegistry jobs, final RunTracker tracker) {
+    this.jobs = jobs;
+    this.tracker = tracker;
+  }
+
+  /**
+   * Applies a finished run.
+   *
+   * @param worker the worker that has reported it
+   * @param finished the finished run
+   * @param now monotonic time in ns
+   * @param wallMillis wall clock time in ms since the Unix epoch
+   * @return whether its effect must be persisted before it is acknowledged
+   */
+  boolean apply(
+      final WorkerState worker, final FinishedRun finished, final long now, final long wallMillis) {
+    final Task task = jobs.task(finished.task());
+    if (task == null) {
+      return false;
+    }
+    final TaskRun run = RunTracker.find(task, worker, finished.run());
+    if (run != null) {
+      tracker.drop(run, now);
+      if (finished.outcome() == RunOutcome.DONE) {
+        task.step().recordDuration(now - run.createdAt());
+      }
+    }
+    task.recordRunNumber(finished.run());
+    task.step().job().markRunning();
+    task.updateCheckpoint(finished.checkpoint());
+    switch (finished.outcome()) {
+      case DONE -> taskDone(worker, task, wallMillis);
+      case FAILED -> taskFailed(worker, task, finished.run(), now, wallMillis);
+      default -> stopGangOf(task, finished.outcome());
+    }
+    return !task.step().spec().longRunning()
+        && (finished.outcome() == RunOutcome.DONE || finished.outcome() == RunOutcome.FAILED);
+  }
+
+  private void stopGangOf(final Task task, final RunOutcome outcome) {
+    if (task.step().spec().gang() && !task.step().isDone()) {
+      tracker.stopGang(task.step(), "another gang member ended as " + outcome);
+    }
+  }
+
+  private void taskDone(final WorkerState worker, final Task task, final long wallMillis) {
+    worker.health().recordSuccess();
+    final JobRun job = task.step().job();
+    if (task.isDone() || job.state().isFinal()) {
+      return;
+    }
+    jobs.markChanged(job);
+    if (task.step().spec().gang()) {
+      for (final Task member : task.step().tasks()) {
+        if (!member.isDone()) {
+          job.completeTask(member, wallMillis);
+        }
+      }
+    } else {
+      job.completeTask(task, wallMillis);
+      List.copyOf(task.runs())
+          .forEach(copy -> tracker.stop(copy, "another copy of the task is done"));
+    }
+    jobs.retire(job);
+  }
+
+  private void taskFailed(
+      final WorkerState worker,
+      final Task task,
+      final int run,
+      final long now,
+      final long wallMillis) {
+    final JobRun job = task.step().job();
+    worker.health().recordFailure(job.id(), now);
+    if (task.isDone() || job.state().isFinal() || !task.recordFailure(run, worker.id())) {
+      return;
+    }
+    jobs.markChanged(job);
+    final boolean gang = task.step().spec().gang();
+    final int failures =
+        gang ? task.step().tasks().stream().mapToInt(Task::failures).sum() : task.failures();
+    if (failures >= job.queue().maxAttempts()) {
+      jobs.finish(job, JobState.FAILED, wallMillis);
+      tracker.stopAll(job, "the job has failed");
+    } else if (gang) {
+      tracker.stopGang(task.step(), "another gang member failed");
+    }
+  }
+}
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.lentilsail.model.job.JobState;
 
 /**
  * Tracks runs from their start to their end: applies command results and status reports of workers,
@@ -14,6 +13,7 @@
   private final JobRegistry jobs;
   private final List<RunCommand> commands = new ArrayList<>();
   private final RunNumbers numbers;
+  private final FinishedRunProcessor finishedRuns;
 
   /**
    * Creates a tracker.
@@ -24,6 +24,7 @@
   public RunTracker(final JobRegistry jobs, final RunNumbers numbers) {
     this.jobs = jobs;
     this.numbers = numbers;
+    this.finishedRuns = new FinishedRunProcessor(jobs, this);
   }
 
   /**
@@ -149,7 +150,7 @@
     boolean mustPersist = false;
     for (final FinishedRun finished : report.finished()) {
       if (finished.sequence() > worker.finishedRuns().lastReceived()) {
-        mustPersist |= applyFinishedRun(worker, finished, now, wallMillis);
+        mustPersist |= finishedRuns.apply(worker, finished, now, wallMillis);
         worker.finishedRuns().recordReceived(finished.sequence(), finished.task());
       }
     }
@@ -251,93 +252,22 @@
     }
   }
 
-  private boolean applyFinishedRun(
-      final WorkerState worker, final FinishedRun finished, final long now, final long wallMillis) {
-    final Task task = jobs.task(finished.task());
-    if (task == null) {
-      return false;
-    }
-    final TaskRun run = find(task, worker, finished.run());
-    if (run != null) {
-      drop(run, now);
-      if (finished.outcome() == RunOutcome.DONE) {
-        task.step().recordDuration(now - run.createdAt());
-      }
-    }
-    task.recordRunNumber(finished.run());
-    task.step().job().markRunning();
-    task.updateCheckpoint(finished.checkpoint());
-    switch (finished.outcome()) {
-      case DONE -> taskDone(worker, task, wallMillis);
-      case FAILED -> taskFailed(worker, task, finished.run(), now, wallMillis);
-      default -> stopGangOf(task, finished.outcome());
-    }
-    return !task.step().spec().longRunning()
-        && (finished.outcome() == RunOutcome.DONE || finished.outcome() == RunOutcome.FAILED);
-  }
-
-  private void stopGangOf(final Task task, final RunOutcome outcome) {
-    if (task.step().spec().gang() && !task.step().isDone()) {
-      stopGang(task.step(), "another gang member ended as " + outcome);
-    }
-  }
-
-  private void taskDone(final WorkerState worker, final Task task, final long wallMillis) {
-    worker.health().recordSuccess();
-    final JobRun job = task.step().job();
-    if (task.isDone() || job.state().isFinal()) {
-      return;
-    }
-    jobs.markChanged(job);
-    if (task.step().spec().gang()) {
-      for (final Task member : task.step().tasks()) {
-        if (!member.isDone()) {
-          job.completeTask(member, wallMillis);
-        }
-      }
-    } else {
-      job.completeTask(task, wallMillis);
-      List.copyOf(task.runs()).forEach(copy -> stop(copy, "another copy of the task is done"));
-    }
-    jobs.retire(job);
-  }
-
-  private void taskFailed(
-      final WorkerState worker,
-      final Task task,
-      final int run,
-      final long now,
-      final long wallMillis) {
-    final JobRun job = task.step().job();
-    worker.health().recordFailure(job.id(), now);
-    if (task.isDone() || job.state().isFinal() || !task.recordFailure(run, worker.id())) {
-      return;
-    }
-    jobs.markChanged(job);
-    final boolean gang = task.step().spec().gang();
-    final int failures =
-        gang ? task.step().tasks().stream().mapToInt(Task::failures).sum() : task.failures();
-    if (failures >= job.queue().maxAttempts()) {
-      jobs.finish(job, JobState.FAILED, wallMillis);
-      stopAll(job, "the job has failed");
-    } else if (gang) {
-      stopGang(task.step(), "another gang member failed");
-    }
-  }
-
-  private void stopGang(final StepRun step, final String reason) {
+  /** Stops all runs of a gang. */
+  void stopGang(final StepRun step, final String reason) {
     for (final Task member : step.tasks()) {
       List.copyOf(member.runs()).forEach(run -> stop(run, reason));
     }
   }
 
-  private void drop(final TaskRun run, final long now) {
+  /** Removes a run that has ended. */
+  void drop(final TaskRun run, final long now) {
     run.worker().remove(run);
     run.task().runs().remove(run);
     run.task().restartWait(now);
   }
 
-  private static TaskRun find(final Task task, final WorkerState worker, final int number) {
+  /** Returns the run of a task on a worker, null if there is none with the number. */
+  static TaskRun find(final Task task, final WorkerState worker, final int number) {
     for (final TaskRun run : task.runs()) {
       if (run.number() == number && run.worker() == worker) {
         return run;
