Reckon with leases that an earlier leader has renewed for longer

Cause: a leader that loses the store renews the leases of all runs to 6 s, and a lease at a worker is never shortened. The next leader polls a worker once, adopts its runs, and then knew only the expiry that it had sent itself (4 s a poll, none while its own lease was not valid). When the worker fell silent, its runs counted as ended up to 1.5 s too early.

Why it works: the first report of an incarnation to a leader notes the latest expiry that an earlier leader can have granted, the clock of the report and the longest lease. What an earlier leader sends after that is fenced.

Test: HandOverTest.newLeaderWaitsForLeasesRenewedByEarlierLeader; two of its four moments failed before ("run 10001 started while runs [1] were active").

--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -199,6 +199,9 @@
     if (!isCurrentIncarnation(report, now)) {
       return;
     }
+    if (!worker.isSynced()) {
+      recordLongestEarlierLease(report);
+    }
     final boolean wasResponding = worker.isResponding();
     final long receivedBefore = worker.finishedRuns().lastReceived();
     final boolean mustPersist =
@@ -221,6 +224,15 @@
     }
   }
 
+  /**
+   * Records the latest expiry that an earlier leader can have granted, before the first report of
+   * an incarnation is applied. That leader may have renewed the lease for longer than this one
+   * does, and a shorter renewal does not shorten it. Its fencing token is outdated from now on.
+   */
+  private void recordLongestEarlierLease(final WorkerReport report) {
+    worker.leaseExpiry(report.clockMillis() + context.bounds().maxLeaseMillis());
+  }
+
   /** Stops stuck runs and adjusts the CPU limits of best-effort runs. */
   private void checkRuns(final long now) {
     for (final TaskRun run : StuckRuns.find(worker, now)) {
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -194,14 +194,15 @@
   /**
    * Returns the expiry of the lease of all runs.
    *
-   * @return latest expiry that was sent, in ms on the clock of the worker
+   * @return latest expiry that this or an earlier leader may have granted, in ms on the clock of
+   *     the worker
    */
   public long leaseExpiry() {
     return leaseExpiry;
   }
 
   /**
-   * Records a lease expiry that was sent.
+   * Records a lease expiry that may have been granted; a lease is never shortened.
    *
    * @param workerMillis expiry in ms on the clock of the worker
    */
--- a/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
@@ -7,11 +7,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lentilsail.jobs.JobNode;
 import org.lentilsail.jobs.SubmitOutcome;
 
@@ -19,13 +21,18 @@
 class HandOverTest {
   private static final String JOB = "00000000000000a1";
 
+  /** Job whose tasks do not end within a test. */
+  private static final String LASTING_JOB = "1000000000000001";
+
+  private static final Map<String, Long> TASK_MILLIS = Map.of(JOB, 300L, LASTING_JOB, 0L);
+
   private SimulatedDeployment deployment;
   private JobNode first;
   private JobNode second;
 
   @BeforeEach
   void start() {
-    deployment = new SimulatedDeployment(task -> 300);
+    deployment = new SimulatedDeployment(task -> TASK_MILLIS.get(task.job()));
     deployment.startWorker("w1");
     final List<JobNode> nodes = deployment.startNodes("d1", "d2");
     first = nodes.get(0);
@@ -94,6 +101,26 @@
     assertThat(deployment.workers.history().starts(JOB), is(1));
   }
 
+  /**
+   * Guards against a second run beside the first one: a leader that loses the store renews the
+   * leases of all runs to 6 s, and the next one reckoned only with the 4 s that it granted itself.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 100, 600, 1_500})
+  void newLeaderWaitsForLeasesRenewedByEarlierLeader(final int millisBetweenTakeoverAndCut) {
+    deployment.startMachineOf("w1");
+    deployment.submit(first, LASTING_JOB, SimulatedDeployment.step(1));
+    deployment.advance(Duration.ofMillis(200));
+    deployment.startWorker("w2");
+    deployment.store.fault("d1", StoreFault.SILENT);
+    deployment.advance(SimulatedDeployment.FAIL_OVER);
+    deployment.advance(Duration.ofMillis(millisBetweenTakeoverAndCut));
+    deployment.workers.cut("d2", "w1", true);
+    deployment.advance(Duration.ofSeconds(9));
+    assertThat(deployment.workers.runs("w1"), is(0));
+    assertThat(deployment.workers.runs("w2"), is(1));
+  }
+
   private boolean machineCommandIsPersisted() {
     return deployment
         .store
