Avoid workers with failures for 2 s only

Cause: a last attempt was kept away from every worker with a failed run since its last success, and any failed task from the worker of its last failed run, both without a limit. Once each worker has a mark, only a success of another job clears one.

Why it works: 2 s after its last failure a task may go to any worker; the marks then lower the score of a worker only.

--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
@@ -85,7 +85,7 @@
       final long wallMillis) {
     final JobRun job = task.step().job();
     worker.health().recordFailure(job.id(), now);
-    if (task.isDone() || job.state().isFinal() || !task.recordFailure(run, worker.id())) {
+    if (task.isDone() || job.state().isFinal() || !task.recordFailure(run, worker.id(), now)) {
       return;
     }
     jobs.markChanged(job);
--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -12,6 +12,9 @@
   /** Score of a worker without recent failures, for a task that has failed before. */
   private static final double NO_FAILURES_SCORE = 1e10;
 
+  /** Score of a worker other than that of the last failed run. */
+  private static final double OTHER_WORKER_SCORE = 1e9;
+
   /**
    * Score of a worker per long-running task on it; concentrates these tasks on few workers, so that
    * the other machines can be moved between pools.
@@ -27,6 +30,13 @@
    */
   private static final int SCARCE_ATTEMPTS = 1;
 
+  /**
+   * Time in ns after a failure for which a task waits rather than repeat it. Callers expect a job
+   * to have a run within 3 s while there is capacity, and the mark of a worker may never be
+   * cleared.
+   */
+  private static final long MAX_AVOIDANCE_NANOS = 2_000_000_000L;
+
   private Placement() {}
 
   /**
@@ -57,7 +67,7 @@
         && fits(task.step(), worker)
         && task.step().isPermitted(worker, now)
         && worker.free().cpuMillis() >= task.step().spec().reserved().cpuMillis()
-        && !repeatsFailure(task, worker);
+        && !repeatsFailure(task, worker, now);
   }
 
   /** Returns whether a worker has the free resources and meets the other requirements of a step. */
@@ -74,11 +84,14 @@
   }
 
   /**
-   * Returns whether a task would repeat a failure: its last failed run was on this worker, or it
-   * has only its last attempt left and runs have recently failed on this worker.
+   * Returns whether a task would repeat a recent failure: its last failed run was on this worker,
+   * or it has only its last attempt left and runs have failed on this worker since its last
+   * success.
    */
-  private static boolean repeatsFailure(final Task task, final WorkerState worker) {
-    if (task.step().spec().longRunning() || task.failures() == 0) {
+  private static boolean repeatsFailure(final Task task, final WorkerState worker, final long now) {
+    if (task.step().spec().longRunning()
+        || task.failures() == 0
+        || now - task.failedAt() >= MAX_AVOIDANCE_NANOS) {
       return false;
     }
     final int attemptsLeft = task.step().job().queue().maxAttempts() - task.failures();
@@ -110,6 +123,9 @@
     if (task.hasFailed() && !worker.health().hasFailures()) {
       score += NO_FAILURES_SCORE;
     }
+    if (!worker.id().equals(task.lastFailedWorker())) {
+      score += OTHER_WORKER_SCORE;
+    }
     return score;
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/Task.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Task.java
@@ -21,11 +21,13 @@
   private int lastRunNumber;
   private String checkpoint = "";
   private String lastFailedWorker = "";
+  private long failedAt;
   private long waitingSince;
 
   Task(final TaskId id, final StepRun step, final long now) {
     this.id = id;
     this.step = step;
+    this.failedAt = now;
     this.waitingSince = now;
   }
 
@@ -124,6 +126,15 @@
     return lastFailedWorker;
   }
 
+  /**
+   * Returns when the last failed run was reported.
+   *
+   * @return monotonic time in ns; that of the creation of this object before the first report
+   */
+  public long failedAt() {
+    return failedAt;
+  }
+
   int lastRunNumber() {
     return lastRunNumber;
   }
@@ -142,10 +153,12 @@
    *
    * @param run number of the run
    * @param worker id of the worker
+   * @param now monotonic time in ns
    * @return false if the run was already counted, or is not counted since the task is long-running
    */
-  boolean recordFailure(final int run, final String worker) {
+  boolean recordFailure(final int run, final String worker, final long now) {
     lastFailedWorker = worker;
+    failedAt = now;
     return !step.spec().longRunning() && failedRuns.add(run);
   }
 
--- a/policy/src/test/java/org/lentilsail/policy/job/SchedulerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/SchedulerTest.java
@@ -98,6 +98,22 @@
     assertThat(second.worker(), is(not(first.worker())));
   }
 
+  /**
+   * Guards against a last attempt that is never started: each worker had a failed run since its
+   * last success, and once the other jobs had ended no success could clear these marks.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 8})
+  void lastAttemptStartsWithinThreeSecondsThoughAllWorkersHaveFailures(final int workers) {
+    for (int i = 0; i < workers; i++) {
+      fixture.worker("w" + i, BOOKING);
+    }
+    fixture.submit("holds", 0, step(workers, JobFixture.CORES, 500));
+    fixture.place(0).forEach(start -> fixture.finish(start.run(), RunOutcome.FAILED, MILLI));
+    assertThat(fixture.place(SECOND), is(empty()));
+    assertThat(fixture.place(3 * SECOND), hasSize(workers));
+  }
+
   @Test
   void jobFailsAfterMaximumAttempts() {
     fixture.worker("w1", BOOKING);
