Start the occurrence of a run that a worker reports to a new leader

Cause: a new leader started due occurrences in its first tick, 100 ms after it had begun to poll the workers. Until then it knew no task of the occurrence: it acknowledged finished runs without effect and stopped active ones as unknown.

Why it works: the reported run shows that an earlier leader has started the occurrence, so the new one starts it before it looks up the task. Persisted progress takes the same way.

--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
@@ -27,7 +27,7 @@
    */
   boolean apply(
       final WorkerState worker, final FinishedRun finished, final long now, final long wallMillis) {
-    final Task task = jobs.task(finished.task());
+    final Task task = jobs.taskOfRun(finished.task(), now);
     if (task == null) {
       return false;
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
@@ -137,14 +137,20 @@
   }
 
   /**
-   * Finds a task.
+   * Finds the task of a run that a worker has reported. The run shows that its occurrence was due
+   * and that an earlier leader started it, so this leader starts it too if it has not yet.
    *
    * @param id id of the task
-   * @return the task, null if it is not known
+   * @param now monotonic time in ns
+   * @return the task, null if no known job can have it
    */
-  public Task task(final TaskId id) {
+  public Task taskOfRun(final TaskId id, final long now) {
     final JobRun job = jobs.get(id.job());
-    return job == null ? null : job.task(id);
+    if (job == null) {
+      return null;
+    }
+    job.startOccurrencesUpTo(id.occurrence(), now);
+    return job.task(id);
   }
 
   /**
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -218,6 +218,13 @@
     nextOccurrence = Math.max(nextOccurrence, occurrence + 1);
   }
 
+  /** Starts an occurrence and all earlier ones, as far as the job has them and they have not. */
+  void startOccurrencesUpTo(final int occurrence, final long now) {
+    while (nextOccurrence <= occurrence && hasOccurrence(occurrence)) {
+      startOccurrence(nextOccurrence, now);
+    }
+  }
+
   int nextOccurrence() {
     return nextOccurrence;
   }
@@ -230,9 +237,7 @@
       if (!hasStep(persisted)) {
         continue;
       }
-      while (nextOccurrence <= persisted.occurrence()) {
-        startOccurrence(nextOccurrence, now);
-      }
+      startOccurrencesUpTo(persisted.occurrence(), now);
       final StepRun step = occurrences.get(persisted.occurrence()).get(persisted.step());
       final BitSet bits = BitSet.valueOf(persisted.doneBits());
       for (final Task task : step.tasks()) {
@@ -259,12 +264,15 @@
    * Returns whether persisted progress belongs to a step and an occurrence that the job can have.
    */
   private boolean hasStep(final StepProgress persisted) {
-    return persisted.occurrence() >= 0
-        && persisted.occurrence() < Math.max(1, submitted.spec().maxRuns())
+    return hasOccurrence(persisted.occurrence())
         && persisted.step() >= 0
         && persisted.step() < submitted.spec().steps().size();
   }
 
+  private boolean hasOccurrence(final int occurrence) {
+    return occurrence >= 0 && occurrence < Math.max(1, submitted.spec().maxRuns());
+  }
+
   void markRunning() {
     started = true;
     if (state == JobState.PENDING) {
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -194,7 +194,7 @@
   }
 
   private TaskRun applyActiveRun(final WorkerState worker, final ActiveRun active, final long now) {
-    final Task task = jobs.task(active.task());
+    final Task task = jobs.taskOfRun(active.task(), now);
     if (task == null) {
       commands.add(new RunCommand.Stop(unknownRun(worker, active, now)));
       return null;
--- a/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
@@ -2,29 +2,37 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lentilsail.jobs.JobNode;
 import org.lentilsail.jobs.SubmitOutcome;
+import org.lentilsail.model.job.JobState;
 
 /** Guards against harm and delay around the hand-over from one leader to the next. */
 class HandOverTest {
   private static final String JOB = "00000000000000a1";
 
+  /** Job whose tasks take longer than a change of the leader. */
+  private static final String SLOW_JOB = "00000000000000a2";
+
   /** Job whose tasks do not end within a test. */
   private static final String LASTING_JOB = "1000000000000001";
 
-  private static final Map<String, Long> TASK_MILLIS = Map.of(JOB, 300L, LASTING_JOB, 0L);
+  private static final Map<String, Long> TASK_MILLIS =
+      Map.of(JOB, 300L, SLOW_JOB, 1_500L, LASTING_JOB, 0L);
 
   private SimulatedDeployment deployment;
   private JobNode first;
@@ -121,6 +129,38 @@
     assertThat(deployment.workers.runs("w2"), is(1));
   }
 
+  /**
+   * Guards against runs of a scheduled job that are repeated after a change of the leader: the next
+   * leader received them before it had started their occurrence, took them for unknown ones, and
+   * acknowledged or stopped them without effect.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    JOB + ", false, 50",
+    JOB + ", false, 290",
+    JOB + ", false, 600",
+    JOB + ", true, 290",
+    SLOW_JOB + ", false, 50",
+    SLOW_JOB + ", true, 50",
+    SLOW_JOB + ", true, 1400"
+  })
+  void runsOfScheduledJobAreKnownToNewLeader(
+      final String job, final boolean planned, final int millisAfterStart) {
+    deployment.submitScheduled(first, job, Duration.ofSeconds(1), SimulatedDeployment.step(3));
+    deployment.advance(Duration.ofMillis(1_100 + millisAfterStart));
+    if (planned) {
+      first.resign();
+    } else {
+      deployment.isolate("d1");
+    }
+    deployment.advance(Duration.ofSeconds(2));
+    assertThat(deployment.workers.history().starts(job), is(3));
+    assertThat(deployment.workers.history().done(), hasSize(3));
+    deployment.advance(SimulatedDeployment.OCCURRENCE_INTERVAL);
+    assertThat(deployment.workers.history().starts(job), is(6));
+    assertThat(deployment.state(second, job), is(Optional.of(JobState.COMPLETED)));
+  }
+
   private boolean machineCommandIsPersisted() {
     return deployment
         .store
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -55,6 +55,9 @@
   /** Maximum duration in ms of a worker's lease, as in the users' deployments. */
   static final long MAX_LEASE_MILLIS = 6_000;
 
+  /** Time between the occurrences of a scheduled job. */
+  static final Duration OCCURRENCE_INTERVAL = Duration.ofSeconds(4);
+
   /** Validity of a permit in ms. */
   static final long PERMIT_MILLIS = 1_000;
 
@@ -180,12 +183,24 @@
 
   SubmitOutcome submit(
       final JobNode node, final String queue, final String id, final StepSpec... steps) {
-    final SubmittedJob job =
-        new SubmittedJob(
-            queue, SERVICE, time.wallMillis(), new JobSpec(id, "work", List.of(steps), 0, 0, 0));
+    return submit(node, queue, new JobSpec(id, "work", List.of(steps), 0, 0, 0));
+  }
+
+  private SubmitOutcome submit(final JobNode node, final String queue, final JobSpec spec) {
+    final SubmittedJob job = new SubmittedJob(queue, SERVICE, time.wallMillis(), spec);
     return await(node.jobApi().submit(job), Duration.ofSeconds(2));
   }
 
+  /** Submits a job whose steps run twice, the first time after the given delay. */
+  SubmitOutcome submitScheduled(
+      final JobNode node, final String id, final Duration delay, final StepSpec... steps) {
+    final long firstRunMillis = time.wallMillis() + delay.toMillis();
+    return submit(
+        node,
+        QUEUE,
+        new JobSpec(id, "work", List.of(steps), 2, firstRunMillis, OCCURRENCE_INTERVAL.toMillis()));
+  }
+
   Optional<JobState> state(final JobNode node, final String id) {
     return await(node.jobApi().state(id), Duration.ofSeconds(2));
   }
