Start a long-running task again when it has ended done

Cause: an end done completed the task without asking whether it is long-running.

Evidence: the record of the case: five ends done at 14.96 s, nothing runs for 17 s, the job is shown as completed.

Why it works: an end done of a long-running task completes nothing, so the task waits for a worker again. Done bits that an earlier version persisted for such a step are ignored. Long-running steps get no speculative copies, which an end done would have started.

Test: RunTrackerTest.longRunningTaskIsStartedAgainHoweverItEnds (DONE failed before), longRunningTaskThatEarlierVersionPersistedAsDoneIsStartedAgain (failed before), SchedulerTest.longRunningTaskGetsNoCopy (fails without the check).

--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
@@ -42,7 +42,7 @@
     task.step().job().markRunning();
     task.updateCheckpoint(finished.checkpoint());
     switch (finished.outcome()) {
-      case DONE -> taskDone(worker, task, wallMillis);
+      case DONE -> runDone(worker, task, wallMillis);
       case FAILED -> taskFailed(worker, task, finished.run(), now, wallMillis);
       default -> stopGangOf(task, finished.outcome());
     }
@@ -56,8 +56,16 @@
     }
   }
 
-  private void taskDone(final WorkerState worker, final Task task, final long wallMillis) {
+  private void runDone(final WorkerState worker, final Task task, final long wallMillis) {
     worker.health().recordSuccess();
+    if (task.step().spec().longRunning()) {
+      stopGangOf(task, RunOutcome.DONE);
+    } else {
+      taskDone(task, wallMillis);
+    }
+  }
+
+  private void taskDone(final Task task, final long wallMillis) {
     final JobRun job = task.step().job();
     if (task.isDone() || job.state().isFinal()) {
       return;
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -243,7 +243,7 @@
       for (final Task task : step.tasks()) {
         final int index = task.id().index();
         task.restore(
-            bits.get(index),
+            bits.get(index) && !step.spec().longRunning(),
             persisted.failures().getOrDefault(index, 0),
             persisted.failedRuns().getOrDefault(index, List.of()),
             persisted.checkpoints().getOrDefault(index, ""));
--- a/policy/src/main/java/org/lentilsail/policy/job/Speculation.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Speculation.java
@@ -26,7 +26,10 @@
    */
   public static List<Task> find(final StepRun step, final long now) {
     final List<Task> slow = new ArrayList<>();
-    if (!step.spec().speculative() || step.spec().gang() || step.meanTaskNanos() <= 0) {
+    if (!step.spec().speculative()
+        || step.spec().gang()
+        || step.spec().longRunning()
+        || step.meanTaskNanos() <= 0) {
       return slow;
     }
     final long limit = Math.max(MIN_NANOS, (long) (step.meanTaskNanos() * SLOW_FACTOR));
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -183,6 +183,27 @@
     return longRunningStep(count, 20_000, maxPerWorker, "image", 0, false, mayMiss);
   }
 
+  /** Creates a long-running step whose tasks may have copies. */
+  static StepSpec speculativeLongRunning(final int count) {
+    return new StepSpec(
+        count,
+        new Resources(1_000, 1_000, 0),
+        0,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        true,
+        true,
+        "",
+        0,
+        false,
+        1);
+  }
+
   /** Creates a step with one task that has a target for its tail response time in ms. */
   static StepSpec withResponseTarget(final long targetMillis) {
     return longRunningStep(1, 1_000, 0, "serving", targetMillis, false, 1);
--- a/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
@@ -1,6 +1,7 @@
 package org.lentilsail.policy.job;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.lentilsail.policy.job.JobFixture.BOOKING;
 import static org.lentilsail.policy.job.JobFixture.SECOND;
@@ -16,9 +17,10 @@
 import org.lentilsail.model.job.StepProgress;
 
 /**
- * Guards against counting a failed run twice. The worker reports a finished run until it is
- * acknowledged, so a leader that takes over between persisting and acknowledging receives it again;
- * the job was then failed one attempt early (hunted day of paseos-plata, seed 928110848070).
+ * Guards against finished runs with a wrong effect. One that had failed was counted twice: its
+ * worker reports it until it is acknowledged, so a leader that takes over between persisting and
+ * acknowledging receives it again; the job was then failed one attempt early (hunted day of
+ * paseos-plata, seed 928110848070).
  */
 class RunTrackerTest {
   private static final int FIRST_RUN = 1;
@@ -77,6 +79,35 @@
     assertThat(restored.state(), is(JobState.FAILED));
   }
 
+  /**
+   * Guards against a long-running task that is not started again after it has ended by itself
+   * without an error: it counted as done, and its job as completed.
+   */
+  @ParameterizedTest
+  @EnumSource(names = {"DONE", "FAILED", "EXPIRED"})
+  void longRunningTaskIsStartedAgainHoweverItEnds(final RunOutcome outcome) {
+    final JobRun job = first.submit("holds", 0, JobFixture.longRunning(2, 0, 1));
+    first.worker("b0", BOOKING);
+    final List<RunCommand.Start> starts = first.place(0);
+
+    starts.forEach(start -> first.finish(start.run(), outcome, SECOND));
+
+    assertThat(job.state(), is(JobState.RUNNING));
+    assertThat(first.place(SECOND), hasSize(2));
+  }
+
+  @Test
+  void longRunningTaskThatEarlierVersionPersistedAsDoneIsStartedAgain() {
+    final JobRun job = second.submit("holds", 0, JobFixture.longRunning(1, 0, 1));
+    second.worker("b0", BOOKING);
+    final StepProgress earlier =
+        new StepProgress(0, 0, new long[] {1}, Map.of(), Map.of(), Map.of());
+
+    second.jobs.restore(job.id(), new JobProgress(JobState.RUNNING, 0, List.of(earlier)), 0);
+
+    assertThat(second.place(0), hasSize(1));
+  }
+
   private JobRun takeOver(final JobProgress persisted) {
     final JobRun job = second.submit("holds", 0, step(1, 1_000, 900));
     second.worker("b0", BOOKING);
--- a/policy/src/test/java/org/lentilsail/policy/job/SchedulerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/SchedulerTest.java
@@ -205,6 +205,19 @@
     assertThat(fixture.place(3 * SECOND), is(empty()));
   }
 
+  /** Guards against copies of healthy long-running tasks, since others of their step have ended. */
+  @Test
+  void longRunningTaskGetsNoCopy() {
+    fixture.worker("w1", BOOKING);
+    fixture.worker("w2", BOOKING);
+    fixture.submit("holds", 0, JobFixture.speculativeLongRunning(3));
+    final List<RunCommand.Start> starts = fixture.place(0);
+    fixture.finish(starts.get(0).run(), RunOutcome.DONE, SECOND);
+    fixture.finish(starts.get(1).run(), RunOutcome.DONE, SECOND);
+    assertThat(fixture.place(SECOND), hasSize(2));
+    assertThat(fixture.place(3 * SECOND), is(empty()));
+  }
+
   @Test
   void longRunningTaskPreemptsBatchRuns() {
     fixture.worker("w1", BOOKING);
