Persist the settings of the queue with each job

Cause: only name and service of the queue were persisted. A new leader builds its registry from the present configuration, and gave a job of a missing queue 4 attempts, priority 0 and no advice.

Why it works: the settings at the acceptance are part of the submission, and in effect while the configuration lacks the queue.

Tests: RunTrackerTest.attemptsOfRemovedQueueAreKnownToNewLeader and AdviceTest.newLeaderKnowsThatRemovedQueueNeedsPermit; both fail without the settings.

--- a/library/src/test/java/org/lentilsail/jobs/WorkerCommandsTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/WorkerCommandsTest.java
@@ -99,7 +99,8 @@
             false,
             0);
     final JobSpec spec = new JobSpec("00000000000000a1", "work", List.of(step), 0, 0, 0);
-    final JobRun job = jobs.accept(new SubmittedJob("holds", "booking", 0, spec), 0, time.nanos());
+    final JobRun job =
+        jobs.accept(new SubmittedJob("holds", "booking", 0, spec, null), 0, time.nanos());
     worker.clock().recordReading(1_000, time.nanos());
     return runTracker.start(job.steps().get(0).tasks().get(0), worker, 0, time.nanos());
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.lentilsail.model.job.JobConfiguration;
 import org.lentilsail.model.job.JobProgress;
@@ -18,8 +19,8 @@
 /** All jobs known to the leader; confined to the control thread. */
 public final class JobRegistry {
   /**
-   * Attempts allowed for a job whose queue is missing from every configuration that this process
-   * has seen.
+   * Attempts allowed for a job that an earlier version accepted for a queue that the configuration
+   * lacks.
    */
   private static final int DEFAULT_ATTEMPTS = 4;
 
@@ -241,17 +242,12 @@
   private QueueSpec queueOf(final SubmittedJob submitted) {
     return configuration
         .queue(submitted.queue())
-        .orElseGet(
-            () ->
-                new QueueSpec(
-                    submitted.queue(),
-                    "",
-                    "",
-                    submitted.service(),
-                    0,
-                    DEFAULT_ATTEMPTS,
-                    1,
-                    0,
-                    false));
+        .or(() -> Optional.ofNullable(submitted.queueSettings()))
+        .orElseGet(() -> defaultQueue(submitted));
+  }
+
+  private static QueueSpec defaultQueue(final SubmittedJob submitted) {
+    return new QueueSpec(
+        submitted.queue(), "", "", submitted.service(), 0, DEFAULT_ATTEMPTS, 1, 0, false);
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -59,8 +59,8 @@
   /**
    * Returns the queue.
    *
-   * @return the queue as in the current configuration, or as in the last configuration that
-   *     contained it
+   * @return the queue as in the latest configuration that contained it, among those that this
+   *     leader has seen and that of the acceptance of the job
    */
   public QueueSpec queue() {
     return queue;
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -111,7 +111,12 @@
     final String id = String.format("%016x", jobCount);
     final String service = queue.equals("holds") ? BOOKING : STARTER;
     return jobs.accept(
-        new SubmittedJob(queue, service, 0, new JobSpec(id, "work", List.of(steps), 0, 0, 0)),
+        new SubmittedJob(
+            queue,
+            service,
+            0,
+            new JobSpec(id, "work", List.of(steps), 0, 0, 0),
+            jobs.configuration().queue(queue).orElse(null)),
         0,
         now);
   }
--- a/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.lentilsail.model.job.JobConfiguration;
 import org.lentilsail.model.job.JobProgress;
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.StepProgress;
@@ -79,6 +80,20 @@
     assertThat(restored.state(), is(JobState.FAILED));
   }
 
+  /** Guards against more attempts than a queue allows, once the queue was removed and led anew. */
+  @Test
+  void attemptsOfRemovedQueueAreKnownToNewLeader() {
+    final JobRun job = first.submit("holds", 0, step(1, 1_000, 900));
+    second.jobs.configuration(new JobConfiguration(2, List.of(), List.of(), 0));
+    second.worker("b0", BOOKING);
+
+    final JobRun restored = second.jobs.accept(job.submitted(), 0, 0);
+    fail(second, restored, FIRST_RUN);
+    fail(second, restored, SECOND_RUN);
+
+    assertThat(restored.state(), is(JobState.FAILED));
+  }
+
   /**
    * Guards against a long-running task that is not started again after it has ended by itself
    * without an error: it counted as done, and its job as completed.
--- a/standin/src/test/java/org/lentilsail/standin/jobs/AdviceTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/AdviceTest.java
@@ -62,6 +62,20 @@
     assertThat(deployment.workers.history().starts(JOB), is(20));
   }
 
+  /**
+   * Guards against a new leader that does not know a removed queue and forgets what it requires.
+   */
+  @Test
+  void newLeaderKnowsThatRemovedQueueNeedsPermit() {
+    deployment.submit(node, ADVISED_QUEUE, JOB, step(3));
+    deployment.configureQueues(SimulatedDeployment.QUEUE);
+    deployment.advance(Duration.ofMillis(200));
+    deployment.startNode("d2");
+    node.resign();
+    deployment.advance(Duration.ofSeconds(2));
+    assertThat(deployment.workers.history().starts(JOB), is(0));
+  }
+
   @Test
   void otherQueuesNeedNoPermit() {
     deployment.submit(node, JOB, step(3));
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
 import org.lentilsail.ManualExecutor;
 import org.lentilsail.jobs.ControlBounds;
 import org.lentilsail.jobs.ControlContext;
@@ -64,6 +65,8 @@
   /** Queue whose steps need a permit. */
   static final String ADVISED_QUEUE = "advised";
 
+  private static final String CONFIGURATION_KEY = "op/config";
+
   private static final long WALL_ORIGIN = 1_700_000_000_000L;
 
   final ManualTimeSource time = new ManualTimeSource(WALL_ORIGIN);
@@ -91,7 +94,12 @@
 
   SimulatedDeployment(final ToLongFunction<TaskId> durations) {
     workers = new SimulatedWorkers(time, executor, durations);
-    store.put("op/config", "configuration".getBytes(StandardCharsets.UTF_8));
+    configureQueues(QUEUE, ADVISED_QUEUE);
+  }
+
+  /** Writes a configuration with just these queues. */
+  void configureQueues(final String... names) {
+    store.put(CONFIGURATION_KEY, String.join(",", names).getBytes(StandardCharsets.UTF_8));
   }
 
   /** Starts daemons of the default size one after the other, so that the first one leads. */
@@ -187,7 +195,8 @@
   }
 
   private SubmitOutcome submit(final JobNode node, final String queue, final JobSpec spec) {
-    final SubmittedJob job = new SubmittedJob(queue, SERVICE, time.wallMillis(), spec);
+    final SubmittedJob job =
+        new SubmittedJob(queue, SERVICE, time.wallMillis(), spec, queue(queue));
     return await(node.jobApi().submit(job), Duration.ofSeconds(2));
   }
 
@@ -263,7 +272,8 @@
         limit);
   }
 
-  private static QueueSpec queue(final String name, final boolean advised) {
+  private static QueueSpec queue(final String name) {
+    final boolean advised = name.equals(ADVISED_QUEUE);
     return new QueueSpec(name, "host", '/' + name + '/', SERVICE, 0, 3, 1.6, 600, advised);
   }
 
@@ -286,14 +296,16 @@
 
     @Override
     public Optional<JobConfiguration> configuration(final StoredItem item) {
-      return item.key().equals("op/config")
-          ? Optional.of(
-              new JobConfiguration(
-                  1,
-                  List.of(queue(QUEUE, false), queue(ADVISED_QUEUE, true)),
-                  List.of(new ServiceSpec(SERVICE, true, false)),
-                  0))
-          : Optional.empty();
+      if (!item.key().equals(CONFIGURATION_KEY)) {
+        return Optional.empty();
+      }
+      final String[] names = new String(item.value(), StandardCharsets.UTF_8).split(",");
+      return Optional.of(
+          new JobConfiguration(
+              item.revision(),
+              Stream.of(names).map(SimulatedDeployment::queue).toList(),
+              List.of(new ServiceSpec(SERVICE, true, false)),
+              0));
     }
 
     @Override
