Acknowledge finished runs that arrive while an earlier one is persisted

If a report with ends that need not be persisted arrived while the ends of an earlier one were being persisted, the session took the earlier write for unfinished for good: ends were not acknowledged, and the worker never counted as safe to terminate, so that its machine could not be moved or maintained, until the next end done or failed.

Cause: after the write the session compared what it had received with what was persisted, not with what had to be. It now keeps the last sequence number that has to be persisted.

--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -43,6 +43,10 @@
   private final WorkerCommands commands;
   private final LeaderItems items;
   private boolean persisting;
+
+  /** Sequence number of the last finished run whose effect has to be persisted. */
+  private long lastToPersist;
+
   private boolean closed;
   private int pollCount;
 
@@ -214,6 +218,7 @@
     if (mustPersist) {
       persisting = true;
       final long lastReceived = worker.finishedRuns().lastReceived();
+      lastToPersist = lastReceived;
       callbacks.whenPersisted(() -> runsPersisted(lastReceived));
     } else if (!persisting) {
       worker.finishedRuns().markPersisted(worker.finishedRuns().lastReceived());
@@ -268,12 +273,15 @@
     callbacks.stateChanged();
   }
 
+  /** Called when the effects of all finished runs up to a sequence number are persisted. */
   private void runsPersisted(final long sequence) {
     if (closed) {
       return;
     }
-    worker.finishedRuns().markPersisted(sequence);
-    persisting = worker.finishedRuns().lastReceived() > worker.finishedRuns().lastPersisted();
+    persisting = lastToPersist > sequence;
+    worker
+        .finishedRuns()
+        .markPersisted(persisting ? sequence : worker.finishedRuns().lastReceived());
     if (!persisting) {
       poll();
     }
--- /dev/null
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -0,0 +1,187 @@
+package org.lentilsail.jobs;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lentilsail.ManualExecutor;
+import org.lentilsail.log.DecisionLog;
+import org.lentilsail.model.job.JobSpec;
+import org.lentilsail.model.job.Resources;
+import org.lentilsail.model.job.StepSpec;
+import org.lentilsail.model.job.SubmittedJob;
+import org.lentilsail.model.job.TaskId;
+import org.lentilsail.model.job.WorkerEntry;
+import org.lentilsail.model.time.ManualTimeSource;
+import org.lentilsail.policy.job.JobRegistry;
+import org.lentilsail.policy.job.JobRun;
+import org.lentilsail.policy.job.RunNumbers;
+import org.lentilsail.policy.job.RunTracker;
+import org.lentilsail.policy.job.TaskRun;
+import org.lentilsail.policy.job.WorkerReport;
+import org.lentilsail.policy.job.WorkerState;
+import org.lentilsail.worker.CommandReply;
+import org.lentilsail.worker.CommandResult;
+import org.lentilsail.worker.PollReply;
+import org.lentilsail.worker.PollRequest;
+import org.lentilsail.worker.StartCommand;
+import org.lentilsail.worker.WorkerClient;
+
+/** The session of one worker at a leader with a valid lease; the test replies for the worker. */
+final class SessionFixture {
+  final ManualTimeSource time = new ManualTimeSource(1_700_000_000_000L);
+  final RecordingWorkers workers = new RecordingWorkers();
+
+  /** Actions that wait until all progress is persisted. */
+  final List<Runnable> awaitingPersistence = new ArrayList<>();
+
+  final RunTracker runTracker;
+  final WorkerState worker =
+      new WorkerState(
+          new WorkerEntry(
+              "w1",
+              "booking",
+              InetSocketAddress.createUnresolved("10.0.0.1", 80),
+              "north",
+              false,
+              new Resources(8_000, 8_000, 0),
+              List.of(),
+              1),
+          0);
+  final WorkerSession session;
+
+  private final DecisionLog log =
+      new DecisionLog(time, new PrintStream(OutputStream.nullOutputStream()));
+  private final ManualExecutor executor = new ManualExecutor(time);
+  private final JobRegistry jobs = new JobRegistry();
+
+  SessionFixture() {
+    runTracker = new RunTracker(jobs, new RunNumbers(1));
+    session =
+        new WorkerSession(
+            context(), worker, runTracker, new LeaderItems(new Term(1, 1)), new LeaderCallbacks());
+  }
+
+  void close() {
+    log.close();
+  }
+
+  /** Starts a run of a new job with one task. */
+  TaskRun startedRun(final String job) {
+    final StepSpec step =
+        new StepSpec(
+            1,
+            new Resources(1_000, 100, 0),
+            300,
+            List.of(),
+            false,
+            false,
+            false,
+            "",
+            "",
+            0,
+            false,
+            false,
+            "",
+            0,
+            false,
+            0);
+    final JobSpec spec = new JobSpec(job, "work", List.of(step), 0, 0, 0);
+    final JobRun accepted =
+        jobs.accept(new SubmittedJob("holds", "booking", 0, spec, null), 0, time.nanos());
+    worker.clock().recordReading(1_000, time.nanos());
+    return runTracker.start(accepted.steps().get(0).tasks().get(0), worker, 0, time.nanos());
+  }
+
+  /** Replies to the last poll, and lets the session send the next one. */
+  void reply(final WorkerReport report) {
+    workers.lastReply.complete(new PollReply(CommandResult.DONE, Optional.of(report), ""));
+    executor.advance(Duration.ofMillis(400));
+  }
+
+  private ControlContext context() {
+    return new ControlContext(
+        null,
+        workers,
+        null,
+        null,
+        null,
+        executor,
+        time,
+        log,
+        new JobMetrics(new PrometheusRegistry()),
+        new ControlBounds(6_000, 2_000, 1_500, 120_000, 3_000, 1_000));
+  }
+
+  /** Records commands and polls. */
+  static final class RecordingWorkers implements WorkerClient {
+    int starts;
+    PollRequest lastPoll;
+    private CompletableFuture<PollReply> lastReply;
+
+    @Override
+    public CompletableFuture<CommandReply> start(
+        final WorkerEntry target, final StartCommand command) {
+      starts++;
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<CommandReply> stop(
+        final WorkerEntry target, final TaskId task, final int run, final long token) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<CommandReply> setCpuLimit(
+        final WorkerEntry target,
+        final TaskId task,
+        final int run,
+        final int percent,
+        final long token) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<PollReply> poll(final WorkerEntry target, final PollRequest request) {
+      lastPoll = request;
+      lastReply = new CompletableFuture<>();
+      return lastReply;
+    }
+  }
+
+  /** Callbacks of a leader with a valid lease. */
+  private final class LeaderCallbacks implements SessionCallbacks {
+    @Override
+    public boolean isLeader() {
+      return true;
+    }
+
+    @Override
+    public boolean isStoreUnreliable() {
+      return false;
+    }
+
+    @Override
+    public void fenced() {}
+
+    @Override
+    public void stateChanged() {}
+
+    @Override
+    public void workerResolved(final WorkerState worker) {}
+
+    @Override
+    public void workerGone(final WorkerState worker) {}
+
+    @Override
+    public void whenPersisted(final Runnable action) {
+      awaitingPersistence.add(action);
+    }
+  }
+}
