Keep the persisted runs of one incarnation of a worker apart from the next

The write that persists the finished runs of a worker may end after the worker has restarted. Its sequence number was then taken for one of the new incarnation, whose numbers begin anew: finished runs were acknowledged before their effect was persisted, and a leader that took over then would have run their tasks again.

The callback now names the start time of the incarnation.

Test: WorkerSessionTest.doesNotAcknowledgeRunForOneOfEarlierIncarnation failed before (acknowledged 1, expected 0).

--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -219,7 +219,8 @@
       persisting = true;
       final long lastReceived = worker.finishedRuns().lastReceived();
       lastToPersist = lastReceived;
-      callbacks.whenPersisted(() -> runsPersisted(lastReceived));
+      final long startTime = worker.entry().startTimeMillis();
+      callbacks.whenPersisted(() -> runsPersisted(startTime, lastReceived));
     } else if (!persisting) {
       worker.finishedRuns().markPersisted(worker.finishedRuns().lastReceived());
     }
@@ -273,9 +274,12 @@
     callbacks.stateChanged();
   }
 
-  /** Called when the effects of all finished runs up to a sequence number are persisted. */
-  private void runsPersisted(final long sequence) {
-    if (closed) {
+  /**
+   * Called when the effects of all finished runs of an incarnation up to a sequence number are
+   * persisted. The numbers of another incarnation begin anew.
+   */
+  private void runsPersisted(final long startTime, final long sequence) {
+    if (closed || startTime != worker.entry().startTimeMillis()) {
       return;
     }
     persisting = lastToPersist > sequence;
--- a/library/src/test/java/org/lentilsail/jobs/WorkerSessionTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/WorkerSessionTest.java
@@ -15,6 +15,7 @@
 /** Guards against finished runs that are acknowledged never, or before they were received. */
 class WorkerSessionTest {
   private static final long FIRST_START = 1;
+  private static final long SECOND_START = 2;
 
   private final SessionFixture fixture = new SessionFixture();
   private TaskRun first;
@@ -53,6 +54,21 @@
     assertThat(fixture.worker.isSafeToTerminate(), is(true));
   }
 
+  /**
+   * The numbers of finished runs begin anew when a worker restarts: the effect of one of the
+   * earlier incarnation was persisted, and one of the present incarnation was acknowledged before
+   * its own.
+   */
+  @Test
+  void doesNotAcknowledgeRunForOneOfEarlierIncarnation() {
+    reply(SECOND_START, finished(1, second, RunOutcome.DONE));
+    fixture.awaitingPersistence.remove(0).run();
+    fixture.session.poll();
+    assertThat(acknowledged(), is(0L));
+    persist();
+    assertThat(acknowledged(), is(1L));
+  }
+
   private long acknowledged() {
     return fixture.workers.lastPoll.acknowledgedSequence();
   }
