Ignore the entry of an earlier incarnation of a worker

Found by reading. After a poll had shown that a worker has restarted, its earlier entry in the store could still be read. The leader took over its start time, so the next poll seemed to show one more restart: all runs counted as ended, also those whose start was on its way, and their tasks were started elsewhere.

Test: JobNodeTest.outdatedEntryOfRestartedWorkerDoesNotEndItsRuns failed before in four of five phases (2 starts, expected 1).

--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -121,11 +121,15 @@
 
   @Override
   public void workerReported(final WorkerEntry entry) {
+    final WorkerState known = fleet.worker(entry.id());
+    if (known != null && entry.startTimeMillis() < known.entry().startTimeMillis()) {
+      context.log().log("worker-entry-outdated", "worker", entry.id());
+      return;
+    }
     knownWorkers.put(entry.id(), entry);
     if (!opened) {
       return;
     }
-    final WorkerState known = fleet.worker(entry.id());
     if (known == null) {
       roster.admit(entry);
       return;
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -171,6 +171,26 @@
     assertThat(deployment.workers.history().running(longRunningJob), is(2));
   }
 
+  /**
+   * Guards against a second run: the store still showed the entry of an earlier incarnation of a
+   * worker. The leader took the present one for restarted once more, dropped the run whose start
+   * was on its way, and started its task elsewhere.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 300, 600, 900, 1_200})
+  void outdatedEntryOfRestartedWorkerDoesNotEndItsRuns(final int phaseMillis) {
+    deployment.restartWorker("w1");
+    deployment.advance(Duration.ofMillis(3_000 + phaseMillis));
+    deployment.workers.delayStarts(1_400);
+    deployment.submit(second, JOB, step(1));
+    deployment.advance(Duration.ofMillis(20));
+    deployment.workers.delayStarts(0);
+    deployment.startWorker("small", 1_000);
+    deployment.writeEntry("w1");
+    deployment.advance(Duration.ofSeconds(3));
+    assertThat(deployment.workers.history().starts(JOB), is(1));
+  }
+
   @Test
   void startsExecutedLateDoNotRunBesideTheirReplacement() {
     deployment.workers.delayStarts(2_500);
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -143,6 +143,11 @@
 
   /** Starts a worker and registers it in the store. */
   void startWorker(final String id) {
+    startWorker(id, 8_000);
+  }
+
+  /** Starts a worker with the given CPU capacity in millicores and registers it in the store. */
+  void startWorker(final String id, final long cpuMillis) {
     final WorkerEntry entry =
         new WorkerEntry(
             id,
@@ -150,11 +155,23 @@
             InetSocketAddress.createUnresolved("10.0.0.1", 80),
             "north",
             false,
-            new Resources(8_000, 8_000, 0),
+            new Resources(cpuMillis, 8_000, 0),
             List.of("a", "rack-1"),
             1);
     entries.put(id, entry);
     workers.start(entry);
+    writeEntry(id);
+  }
+
+  /** Restarts a worker, whose entry in the store stays that of the earlier incarnation. */
+  void restartWorker(final String id) {
+    final WorkerEntry earlier = entries.get(id);
+    workers.crash(id);
+    workers.start(earlier.withStartTime(earlier.startTimeMillis() + 1));
+  }
+
+  /** Writes the entry of the first incarnation of a worker. */
+  void writeEntry(final String id) {
     store.put("servers/" + id, id.getBytes(StandardCharsets.UTF_8));
   }
 
