Do not stop the present run of a gang for the end of an earlier one

The end of a member of an earlier run that was reported late, for instance by a worker that had been cut off, stopped all members of the present run. That wasted the work of the gang. All members of a run share its number, so only runs up to the number of the ended one are stopped.

--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
@@ -42,24 +42,29 @@
     task.step().job().markRunning();
     task.updateCheckpoint(finished.checkpoint());
     switch (finished.outcome()) {
-      case DONE -> runDone(worker, task, wallMillis);
+      case DONE -> runDone(worker, task, finished, wallMillis);
       case FAILED -> taskFailed(worker, task, finished.run(), now, wallMillis);
-      default -> stopGangOf(task, finished.outcome());
+      default -> stopGangOf(task, finished);
     }
     return !task.step().spec().longRunning()
         && (finished.outcome() == RunOutcome.DONE || finished.outcome() == RunOutcome.FAILED);
   }
 
-  private void stopGangOf(final Task task, final RunOutcome outcome) {
+  private void stopGangOf(final Task task, final FinishedRun finished) {
     if (task.step().spec().gang() && !task.step().isDone()) {
-      tracker.stopGang(task.step(), "another gang member ended as " + outcome);
+      tracker.stopGang(
+          task.step(), finished.run(), "another gang member ended as " + finished.outcome());
     }
   }
 
-  private void runDone(final WorkerState worker, final Task task, final long wallMillis) {
+  private void runDone(
+      final WorkerState worker,
+      final Task task,
+      final FinishedRun finished,
+      final long wallMillis) {
     worker.health().recordSuccess();
     if (task.step().spec().longRunning()) {
-      stopGangOf(task, RunOutcome.DONE);
+      stopGangOf(task, finished);
     } else {
       taskDone(task, wallMillis);
     }
@@ -104,7 +109,7 @@
       jobs.finish(job, JobState.FAILED, wallMillis);
       tracker.stopAll(job, "the job has failed");
     } else if (gang) {
-      tracker.stopGang(task.step(), "another gang member failed");
+      tracker.stopGang(task.step(), run, "another gang member failed");
     }
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -90,7 +90,7 @@
   public void startRejected(final TaskRun run, final long now) {
     drop(run, now);
     if (run.task().step().spec().gang()) {
-      stopGang(run.task().step(), "another gang member could not start");
+      stopGang(run.task().step(), run.number(), "another gang member could not start");
     }
   }
 
@@ -177,7 +177,7 @@
       drop(run, now);
       final StepRun step = run.task().step();
       if (step.spec().gang()) {
-        stopGang(step, "another gang member was lost");
+        stopGang(step, run.number(), "another gang member was lost");
       }
     }
   }
@@ -252,10 +252,17 @@
     }
   }
 
-  /** Stops all runs of a gang. */
-  void stopGang(final StepRun step, final String reason) {
+  /**
+   * Stops the runs of a gang that ended with one of its members. All members of a run share its
+   * number; a later run of the gang goes on.
+   */
+  void stopGang(final StepRun step, final int number, final String reason) {
     for (final Task member : step.tasks()) {
-      List.copyOf(member.runs()).forEach(run -> stop(run, reason));
+      for (final TaskRun run : List.copyOf(member.runs())) {
+        if (run.number() <= number) {
+          stop(run, reason);
+        }
+      }
     }
   }
 
--- a/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
@@ -16,6 +16,7 @@
 import org.lentilsail.model.job.JobProgress;
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.StepProgress;
+import org.lentilsail.model.job.TaskId;
 
 /**
  * Guards against finished runs with a wrong effect. One that had failed was counted twice: its
@@ -123,6 +124,30 @@
     assertThat(second.place(0), hasSize(1));
   }
 
+  /**
+   * Guards against the loss of the work of a gang: a member of an earlier run was cut off, and its
+   * late report stopped the present run of the gang.
+   */
+  @ParameterizedTest
+  @EnumSource(names = {"BROKEN", "EXPIRED", "FAILED"})
+  void lateEndOfEarlierRunDoesNotStopGang(final RunOutcome outcome) {
+    final JobRun job = first.submit("holds", 0, JobFixture.gang(2));
+    final WorkerState lost = first.worker("b0", BOOKING);
+    first.place(0);
+    first.tracker.workerLost(lost, SECOND);
+    first.tracker.takeCommands();
+    first.worker("b1", BOOKING);
+    lost.responding(false);
+    assertThat(first.place(2 * SECOND), hasSize(2));
+
+    final TaskId member = job.steps().get(0).tasks().get(0).id();
+    final FinishedRun late = new FinishedRun(1, member, FIRST_RUN, outcome, "");
+    first.tracker.applyReport(
+        lost, new WorkerReport(3_000, 1, List.of(), List.of(late)), 3 * SECOND, 3 * SECOND, 0);
+
+    assertThat(first.tracker.takeCommands(), hasSize(0));
+  }
+
   private JobRun takeOver(final JobProgress persisted) {
     final JobRun job = second.submit("holds", 0, step(1, 1_000, 900));
     second.worker("b0", BOOKING);
