Build the steps of tests by name

Six places passed sixteen positional arguments to StepSpec. A builder in the tests of policy, which library and standin use as well, names what a step sets.

--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -22,6 +22,7 @@
 import org.lentilsail.policy.job.JobRun;
 import org.lentilsail.policy.job.RunNumbers;
 import org.lentilsail.policy.job.RunTracker;
+import org.lentilsail.policy.job.StepSpecBuilder;
 import org.lentilsail.policy.job.TaskRun;
 import org.lentilsail.policy.job.WorkerReport;
 import org.lentilsail.policy.job.WorkerState;
@@ -73,24 +74,7 @@
 
   /** Starts a run of a new job with one task. */
   TaskRun startedRun(final String job) {
-    final StepSpec step =
-        new StepSpec(
-            1,
-            new Resources(1_000, 100, 0),
-            300,
-            List.of(),
-            false,
-            false,
-            false,
-            "",
-            "",
-            0,
-            false,
-            false,
-            "",
-            0,
-            false,
-            0);
+    final StepSpec step = StepSpecBuilder.tasks(1).estimateMillis(300).build();
     final JobSpec spec = new JobSpec(job, "work", List.of(step), 0, 0, 0);
     final JobRun accepted =
         jobs.accept(new SubmittedJob("holds", "booking", 0, spec, null), 0, time.nanos());
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -23,6 +23,8 @@
   static final long SECOND = 1_000 * MILLI;
   static final int CORES = 64_000;
 
+  private static final int LONG_RUNNING_CPU_MILLIS = 6_000;
+
   final JobRegistry jobs = new JobRegistry();
   final Fleet fleet = new Fleet();
   final MachineInventory machines = new MachineInventory();
@@ -155,120 +157,49 @@
 
   static StepSpec step(
       final int count, final int cpu, final long estimate, final Integer... after) {
-    return batchStep(count, cpu, estimate, List.of(after), false);
+    return StepSpecBuilder.tasks(count)
+        .demand(cpu, 1_000)
+        .estimateMillis(estimate)
+        .after(List.of(after))
+        .build();
   }
 
   /** Creates a step whose tasks may have copies. */
   static StepSpec speculative(final int count) {
-    return batchStep(count, 1_000, 1_000, List.of(), true);
+    return StepSpecBuilder.tasks(count).estimateMillis(1_000).speculative().build();
   }
 
   /** Creates a gang, a step whose tasks only run together. */
   static StepSpec gang(final int count) {
-    return new StepSpec(
-        count,
-        new Resources(1_000, 1_000, 0),
-        1_000,
-        List.of(),
-        false,
-        true,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        "",
-        0,
-        false,
-        0);
+    return StepSpecBuilder.tasks(count).estimateMillis(1_000).gang().build();
   }
 
   static StepSpec longRunning(final int count, final int maxPerWorker, final int mayMiss) {
-    return longRunningStep(count, 20_000, maxPerWorker, "image", 0, false, mayMiss);
+    return StepSpecBuilder.tasks(count)
+        .demand(LONG_RUNNING_CPU_MILLIS, 20_000)
+        .longRunning(mayMiss)
+        .maxPerWorker(maxPerWorker)
+        .image("image")
+        .build();
   }
 
   /** Creates a long-running step whose tasks may have copies. */
   static StepSpec speculativeLongRunning(final int count) {
-    return new StepSpec(
-        count,
-        new Resources(1_000, 1_000, 0),
-        0,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        true,
-        true,
-        "",
-        0,
-        false,
-        1);
+    return StepSpecBuilder.tasks(count).longRunning(1).speculative().build();
   }
 
   /** Creates a step with one task that has a target for its tail response time in ms. */
   static StepSpec withResponseTarget(final long targetMillis) {
-    return longRunningStep(1, 1_000, 0, "serving", targetMillis, false, 1);
+    return longRunningTask().image("serving").targetMillis(targetMillis).build();
   }
 
   /** Creates a step with one best-effort task. */
   static StepSpec bestEffort() {
-    return longRunningStep(1, 1_000, 0, "filling", 0, true, 1);
+    return longRunningTask().image("filling").fills().build();
   }
 
-  private static StepSpec batchStep(
-      final int count,
-      final int cpu,
-      final long estimate,
-      final List<Integer> after,
-      final boolean speculative) {
-    return new StepSpec(
-        count,
-        new Resources(cpu, 1_000, 0),
-        estimate,
-        after,
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        speculative,
-        false,
-        "",
-        0,
-        false,
-        0);
-  }
-
-  private static StepSpec longRunningStep(
-      final int count,
-      final int memoryMb,
-      final int maxPerWorker,
-      final String image,
-      final long targetMillis,
-      final boolean fills,
-      final int mayMiss) {
-    return new StepSpec(
-        count,
-        new Resources(6_000, memoryMb, 0),
-        0,
-        List.of(),
-        false,
-        false,
-        false,
-        "",
-        "",
-        maxPerWorker,
-        false,
-        true,
-        image,
-        targetMillis,
-        fills,
-        mayMiss);
+  private static StepSpecBuilder longRunningTask() {
+    return StepSpecBuilder.tasks(1).demand(LONG_RUNNING_CPU_MILLIS, 1_000).longRunning(1);
   }
 
   private static QueueSpec queue(final String name, final String service, final int priority) {
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -41,6 +41,7 @@
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.model.time.ManualTimeSource;
+import org.lentilsail.policy.job.StepSpecBuilder;
 import org.lentilsail.store.StoredItem;
 import org.lentilsail.worker.Advice;
 import org.lentilsail.worker.AdviceClient;
@@ -254,39 +255,21 @@
   }
 
   static StepSpec step(final int count, final Integer... after) {
-    return spec(count, List.of(after), false, false);
+    return spec(count).after(List.of(after)).build();
   }
 
-  /** Creates a step whose tasks run until the job is cancelled. */
+  /** Creates a step whose tasks run until the job is cancelled, one on a worker. */
   static StepSpec longRunning(final int count) {
-    return spec(count, List.of(), false, true);
+    return spec(count).longRunning(1).maxPerWorker(1).build();
   }
 
   /** Creates a step whose tasks can only run together. */
   static StepSpec gang(final int count) {
-    return spec(count, List.of(), true, false);
+    return spec(count).gang().build();
   }
 
-  private static StepSpec spec(
-      final int count, final List<Integer> after, final boolean gang, final boolean longRunning) {
-    final int limit = longRunning ? 1 : 0;
-    return new StepSpec(
-        count,
-        new Resources(1_000, 100, 0),
-        300,
-        after,
-        false,
-        gang,
-        false,
-        "",
-        "",
-        limit,
-        false,
-        longRunning,
-        "",
-        0,
-        false,
-        limit);
+  private static StepSpecBuilder spec(final int count) {
+    return StepSpecBuilder.tasks(count).demand(1_000, 100).estimateMillis(300);
   }
 
   private static QueueSpec queue(final String name) {
