Share the values in memory of two test doubles of the platform

Two classes named FakePlatform repeated the comparison of revisions and nine calls that they don't support. They are ScriptedPlatform and LossyPlatform now, over VersionedValues and UnsupportedPlatform.

--- a/library/src/test/java/org/lentilsail/acceptance/RecordServiceTest.java
+++ b/library/src/test/java/org/lentilsail/acceptance/RecordServiceTest.java
@@ -27,7 +27,7 @@
   private static final RecordKey WAVE = new RecordKey(RecordKind.WAVE, "kernel");
 
   private final ManualTimeSource time = new ManualTimeSource(0);
-  private final FakePlatform platform = new FakePlatform();
+  private final ScriptedPlatform platform = new ScriptedPlatform();
   private final RecordService service = new RecordService(platform, time, time::advance);
   private final List<String> notices = new ArrayList<>();
   private final OperatorCommands commands =
@@ -35,8 +35,8 @@
 
   /** Guards against a write that is lost, applied twice or reported as a conflict with itself. */
   @ParameterizedTest
-  @EnumSource(FakePlatform.Fault.class)
-  void acceptsDespiteOneFault(final FakePlatform.Fault fault) {
+  @EnumSource(ScriptedPlatform.Fault.class)
+  void acceptsDespiteOneFault(final ScriptedPlatform.Fault fault) {
     pool(0, "{}", "m1");
     platform.faults.add(fault);
     platform.faults.add(fault);
@@ -49,7 +49,7 @@
   @Test
   void findsItsWriteIdAfterLaterWrites() {
     pool(0, "{}", "m1");
-    platform.faults.add(FakePlatform.Fault.REPLY_LOST);
+    platform.faults.add(ScriptedPlatform.Fault.REPLY_LOST);
     platform.concurrentWrites.add(() -> {});
     platform.concurrentWrites.add(() -> pool(2, "{'minimumVms':3}", "other"));
     assertThat(pool(1, "{'minimumVms':2}", "m2").revision(), is(3L));
@@ -59,7 +59,7 @@
   @Test
   void outcomeIsUnknownAfterManyLaterWrites() {
     pool(0, "{}", "m1");
-    platform.faults.add(FakePlatform.Fault.REPLY_LOST);
+    platform.faults.add(ScriptedPlatform.Fault.REPLY_LOST);
     platform.concurrentWrites.add(() -> {});
     platform.concurrentWrites.add(
         () -> {
@@ -78,7 +78,7 @@
   void reportsConflictWithCurrentContent() {
     pool(0, "{}", "m1");
     platform.concurrentWrites.add(() -> pool(1, "{'minimumVms':3}", "other"));
-    platform.faults.add(FakePlatform.Fault.WRITE_LOST);
+    platform.faults.add(ScriptedPlatform.Fault.WRITE_LOST);
     final RecordConflictException error =
         assertThrows(RecordConflictException.class, () -> pool(1, "{'minimumVms':2}", "m2"));
     assertThat(error.revision(), is(2L));
@@ -94,7 +94,8 @@
   void resolvesUnknownOutcomeByTheWriteId() {
     pool(0, "{}", "m1");
     for (int i = 0; i < 100; i++) {
-      platform.faults.add(i == 0 ? FakePlatform.Fault.REPLY_LOST : FakePlatform.Fault.UNAVAILABLE);
+      platform.faults.add(
+          i == 0 ? ScriptedPlatform.Fault.REPLY_LOST : ScriptedPlatform.Fault.UNAVAILABLE);
     }
     assertThrows(OutcomeUnknownException.class, () -> pool(1, "{'minimumVms':2}", "m2"));
     platform.faults.clear();
@@ -126,15 +127,15 @@
   @Test
   void resolvesDeletions() {
     pool(0, "{}", "m1");
-    platform.faults.add(FakePlatform.Fault.REPLY_LOST);
+    platform.faults.add(ScriptedPlatform.Fault.REPLY_LOST);
     service.delete(GREEN, 1, LIMIT);
     assertThat(service.list(LIMIT), empty());
     pool(0, "{}", "m2");
-    platform.faults.add(FakePlatform.Fault.WRITE_LOST);
+    platform.faults.add(ScriptedPlatform.Fault.WRITE_LOST);
     platform.concurrentWrites.add(() -> {});
     platform.concurrentWrites.add(() -> pool(3, "{}", "other"));
     assertThrows(RecordConflictException.class, () -> service.delete(GREEN, 3, LIMIT));
-    platform.faults.add(FakePlatform.Fault.REPLY_LOST);
+    platform.faults.add(ScriptedPlatform.Fault.REPLY_LOST);
     platform.concurrentWrites.add(() -> {});
     platform.concurrentWrites.add(() -> pool(0, "{}", "again"));
     assertThrows(OutcomeUnknownException.class, () -> service.delete(GREEN, 4, LIMIT));
--- a/library/src/test/java/org/lentilsail/acceptance/FakePlatform.java
+++ b/library/src/test/java/org/lentilsail/acceptance/ScriptedPlatform.java
@@ -1,28 +1,23 @@
 package org.lentilsail.acceptance;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.lentilsail.model.error.ErrorCode;
 import org.lentilsail.model.error.LentilsailException;
 import org.lentilsail.platform.Listing;
-import org.lentilsail.platform.PlatformClient;
+import org.lentilsail.platform.UnsupportedPlatform;
 import org.lentilsail.platform.VersionedValue;
-import org.lentilsail.platform.VmOperation;
-import org.lentilsail.platform.VmReport;
-import org.lentilsail.platform.WatchResult;
+import org.lentilsail.platform.VersionedValues;
 import org.lentilsail.platform.WriteResult;
 
 /** In-memory key-value service whose next writes can be lost, delayed or preceded by others. */
-public final class FakePlatform implements PlatformClient {
+public final class ScriptedPlatform extends UnsupportedPlatform {
   /** Faults of the next writes, in order; without an entry a write succeeds. */
   public final Deque<Fault> faults = new ArrayDeque<>();
 
@@ -32,9 +27,8 @@
   /** Whether all calls fail. */
   public boolean down;
 
-  private final Map<String, VersionedValue> values = new TreeMap<>();
+  private final VersionedValues values = new VersionedValues();
   private final List<Runnable> delayed = new ArrayList<>();
-  private long revision;
 
   /** Faults of a write. */
   public enum Fault {
@@ -50,16 +44,12 @@
 
   @Override
   public CompletableFuture<Optional<VersionedValue>> get(final String key) {
-    return reply(() -> Optional.ofNullable(values.get(key)));
+    return reply(() -> values.get(key));
   }
 
   @Override
   public CompletableFuture<Listing> list(final String prefix) {
-    return reply(
-        () ->
-            new Listing(
-                values.values().stream().filter(it -> it.key().startsWith(prefix)).toList(),
-                revision));
+    return reply(() -> values.list(prefix));
   }
 
   @Override
@@ -68,12 +58,12 @@
       final long expectedRevision,
       final JsonNode value,
       final Optional<String> lease) {
-    return write(() -> store(key, expectedRevision, Optional.of(value)));
+    return write(() -> values.compareAndSet(key, expectedRevision, Optional.of(value)));
   }
 
   @Override
   public CompletableFuture<WriteResult> delete(final String key, final long expectedRevision) {
-    return write(() -> store(key, expectedRevision, Optional.empty()));
+    return write(() -> values.compareAndSet(key, expectedRevision, Optional.empty()));
   }
 
   private CompletableFuture<WriteResult> write(final Supplier<WriteResult> write) {
@@ -113,54 +103,7 @@
     delayed.clear();
   }
 
-  private WriteResult store(final String key, final long expected, final Optional<JsonNode> value) {
-    final Optional<VersionedValue> current = Optional.ofNullable(values.get(key));
-    final long actual = current.map(VersionedValue::revision).orElse(0L);
-    if (actual != expected) {
-      return new WriteResult(false, actual, current);
-    }
-    revision++;
-    value.ifPresentOrElse(
-        json -> values.put(key, new VersionedValue(key, json, revision)), () -> values.remove(key));
-    return new WriteResult(true, revision, Optional.empty());
-  }
-
   private static <T> CompletableFuture<T> failed(final ErrorCode code) {
     return CompletableFuture.failedFuture(new LentilsailException(code, "fault", "repeat"));
   }
-
-  @Override
-  public CompletableFuture<WatchResult> watch(
-      final String prefix, final long afterRevision, final Duration wait) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<String> grantLease(final Duration timeToLive) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<Boolean> keepAlive(final String lease) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<Void> revokeLease(final String lease) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<List<VmReport>> vms() {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<Boolean> operate(
-      final String vm, final VmOperation operation, final long bootGeneration) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public void close() {}
 }
--- a/library/src/test/java/org/lentilsail/admin/AdminServerTest.java
+++ b/library/src/test/java/org/lentilsail/admin/AdminServerTest.java
@@ -24,9 +24,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.lentilsail.acceptance.FakePlatform;
 import org.lentilsail.acceptance.OperatorCommands;
 import org.lentilsail.acceptance.RecordService;
+import org.lentilsail.acceptance.ScriptedPlatform;
 import org.lentilsail.config.ConfigurationSnapshot;
 import org.lentilsail.config.ConfigurationView;
 import org.lentilsail.model.error.ErrorCode;
@@ -50,7 +50,7 @@
   private static final String POOL =
       "{\"kind\":\"pool\",\"schemaVersion\":1,\"name\":\"green\",\"spec\":{}}";
 
-  private final FakePlatform platform = new FakePlatform();
+  private final ScriptedPlatform platform = new ScriptedPlatform();
   private final HttpClient client = HttpClient.newHttpClient();
   private volatile Optional<String> condition = Optional.empty();
   private AdminServer server;
--- a/library/src/test/java/org/lentilsail/idempotency/KeyOwnershipSimulation.java
+++ b/library/src/test/java/org/lentilsail/idempotency/KeyOwnershipSimulation.java
@@ -21,7 +21,7 @@
   private static final int MAX_OFFSET_MILLIS = 1_499;
 
   private final Random random;
-  private final FakePlatform platform;
+  private final LossyPlatform platform;
   private final Daemon[] daemons = new Daemon[DAEMONS];
   private final Set<Long> deadIncarnations = new HashSet<>();
   private final List<IdempotencyKey> keys = new ArrayList<>();
@@ -34,7 +34,7 @@
 
   KeyOwnershipSimulation(final long seed) {
     random = new Random(seed);
-    platform = new FakePlatform(random, 30);
+    platform = new LossyPlatform(random, 30);
     for (int i = 0; i < DAEMONS; i++) {
       daemons[i] = new Daemon(i);
     }
--- a/library/src/test/java/org/lentilsail/idempotency/KeyTermManagerTest.java
+++ b/library/src/test/java/org/lentilsail/idempotency/KeyTermManagerTest.java
@@ -24,7 +24,7 @@
   private static final int TICKS = 30;
 
   private final ManualTimeSource time = new ManualTimeSource(1_700_000_000_000L);
-  private final FakePlatform platform = new FakePlatform(new Random(1), 0);
+  private final LossyPlatform platform = new LossyPlatform(new Random(1), 0);
 
   @ParameterizedTest
   @ValueSource(ints = {0, 1, 5})
