--- a/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
@@ -81,7 +81,7 @@
     assertThat(restored.state(), is(JobState.FAILED));
   }
 
-  /** Guards against more attempts than a queue allows, once the queue was removed and led anew. */
+  /** Guards against more attempts than a removed queue allowed, after a change of the leader. */
   @Test
   void attemptsOfRemovedQueueAreKnownToNewLeader() {
     final JobRun job = first.submit("holds", 0, step(1, 1_000, 900));
