Commit all conditional writes of the leader in one place

Six writers of the leader committed their transactions, told a failed call from a conflict and updated the tracked revisions each on their own. LeaderItems.commit does it once and reports one of four outcomes; UNCONFIRMED stands for a call that failed or was not answered.

--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -1,7 +1,5 @@
 package org.lentilsail.jobs;
 
-import static org.lentilsail.concurrent.Callbacks.logged;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -157,17 +155,15 @@
 
   private void commit(final Transaction transaction, final Runnable onApplied) {
     writeInFlight = true;
-    context
-        .store()
-        .commit(transaction)
-        .whenCompleteAsync(
-            logged(
-                (result, failure) -> {
-                  writeInFlight = false;
-                  if (failure == null && result.applied()) {
-                    onApplied.run();
-                  }
-                }),
-            context.executor());
+    items.commit(
+        context,
+        transaction,
+        List.of(),
+        (outcome, reason) -> {
+          writeInFlight = false;
+          if (outcome == LeaderItems.WriteOutcome.APPLIED) {
+            onApplied.run();
+          }
+        });
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
@@ -1,8 +1,11 @@
 package org.lentilsail.jobs;
 
+import static org.lentilsail.concurrent.Callbacks.logged;
+
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import org.lentilsail.store.StoredItem;
 import org.lentilsail.store.Transaction;
 import org.lentilsail.store.TransactionResult;
@@ -26,7 +29,9 @@
      */
     CONFLICT,
     /** Another daemon is the leader. */
-    SUPERSEDED
+    SUPERSEDED,
+    /** The store did not confirm the transaction; it may have been applied or be applied later. */
+    UNCONFIRMED
   }
 
   LeaderItems(final Term term) {
@@ -71,8 +76,45 @@
     return revisions.containsKey(key);
   }
 
-  /** Updates the tracked revisions after a transaction and returns its result. */
-  WriteOutcome handleResult(final TransactionResult result, final Collection<String> keys) {
+  /**
+   * Commits a transaction and updates the tracked revisions.
+   *
+   * @param context the store and the control thread
+   * @param transaction a transaction made by this object
+   * @param keys keys of the items whose revisions it requires
+   * @param callback receives the outcome and, unless it is APPLIED, its reason on the control
+   *     thread
+   */
+  void commit(
+      final ControlContext context,
+      final Transaction transaction,
+      final Collection<String> keys,
+      final BiConsumer<WriteOutcome, String> callback) {
+    context
+        .store()
+        .commit(transaction)
+        .whenCompleteAsync(
+            logged(
+                (result, failure) -> {
+                  if (failure == null) {
+                    final WriteOutcome outcome = handleResult(result, keys);
+                    callback.accept(outcome, reason(outcome));
+                  } else {
+                    callback.accept(WriteOutcome.UNCONFIRMED, String.valueOf(failure.getMessage()));
+                  }
+                }),
+            context.executor());
+  }
+
+  private static String reason(final WriteOutcome outcome) {
+    return switch (outcome) {
+      case APPLIED -> "";
+      case SUPERSEDED -> "another daemon is the leader";
+      default -> "the revision of an item has changed";
+    };
+  }
+
+  private WriteOutcome handleResult(final TransactionResult result, final Collection<String> keys) {
     if (result.applied()) {
       keys.forEach(key -> revisions.put(key, result.revision()));
       return WriteOutcome.APPLIED;
--- a/library/src/main/java/org/lentilsail/jobs/MachineCommands.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineCommands.java
@@ -1,7 +1,5 @@
 package org.lentilsail.jobs;
 
-import static org.lentilsail.concurrent.Callbacks.logged;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -251,26 +249,19 @@
     final List<QueuedCommand> recorded = List.copyOf(waiting);
     waiting.clear();
     final MachineCommandsDocument document = document();
-    context
-        .store()
-        .commit(
-            items.write(
-                items.newTransaction(), StoreKeys.MACHINE_COMMANDS, Documents.write(document)))
-        .whenCompleteAsync(
-            logged(
-                (result, failure) -> {
-                  writeInFlight = false;
-                  final boolean applied =
-                      failure == null
-                          && items.handleResult(result, List.of(StoreKeys.MACHINE_COMMANDS))
-                              == LeaderItems.WriteOutcome.APPLIED;
-                  if (applied) {
-                    persisted = document;
-                  }
-                  // The process may have been paused since the transaction was sent.
-                  final boolean send = applied && isLeader.getAsBoolean();
-                  recorded.forEach(command -> (send ? command.send() : command.cancel()).run());
-                }),
-            context.executor());
+    items.commit(
+        context,
+        items.write(items.newTransaction(), StoreKeys.MACHINE_COMMANDS, Documents.write(document)),
+        List.of(StoreKeys.MACHINE_COMMANDS),
+        (outcome, reason) -> {
+          writeInFlight = false;
+          final boolean applied = outcome == LeaderItems.WriteOutcome.APPLIED;
+          if (applied) {
+            persisted = document;
+          }
+          // The process may have been paused since the transaction was sent.
+          final boolean send = applied && isLeader.getAsBoolean();
+          recorded.forEach(command -> (send ? command.send() : command.cancel()).run());
+        });
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/PlacementWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/PlacementWriter.java
@@ -1,7 +1,5 @@
 package org.lentilsail.jobs;
 
-import static org.lentilsail.concurrent.Callbacks.logged;
-
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -16,7 +14,6 @@
 import org.lentilsail.policy.job.RunTracker;
 import org.lentilsail.policy.job.WorkerState;
 import org.lentilsail.store.Transaction;
-import org.lentilsail.store.TransactionResult;
 
 /**
  * Persists which tasks a worker may have been assigned, before their starts are sent. While a
@@ -112,21 +109,19 @@
     for (final String key : keys) {
       transaction = items.remove(transaction, key);
     }
-    context
-        .store()
-        .commit(transaction)
-        .whenCompleteAsync(
-            logged(
-                (result, failure) -> {
-                  removing = false;
-                  if (failure != null) {
-                    context.log().log("placement-not-removed", "reason", failure.getMessage());
-                  } else if (items.handleResult(result, keys) == LeaderItems.WriteOutcome.APPLIED) {
-                    keys.forEach(items::forget);
-                    terminatedWorkers.removeAll(workers);
-                  }
-                }),
-            context.executor());
+    items.commit(
+        context,
+        transaction,
+        keys,
+        (outcome, reason) -> {
+          removing = false;
+          if (outcome == LeaderItems.WriteOutcome.APPLIED) {
+            keys.forEach(items::forget);
+            terminatedWorkers.removeAll(workers);
+          } else {
+            context.log().log("placement-not-removed", "reason", reason);
+          }
+        });
   }
 
   private void flush() {
@@ -190,30 +185,23 @@
               StoreKeys.placement(worker.id()),
               Documents.write(PlacementDocument.of(worker.unresolvedTasks())));
     }
-    context
-        .store()
-        .commit(transaction)
-        .whenCompleteAsync(
-            logged(
-                (result, failure) -> {
-                  transactionsInFlight--;
-                  workersInFlight.removeAll(batch.keySet());
-                  if (!closed) {
-                    handleResult(batch, result, failure);
-                  }
-                }),
-            context.executor());
+    items.commit(
+        context,
+        transaction,
+        batch.keySet().stream().map(worker -> StoreKeys.placement(worker.id())).toList(),
+        (outcome, reason) -> {
+          transactionsInFlight--;
+          workersInFlight.removeAll(batch.keySet());
+          if (!closed) {
+            handleOutcome(batch, outcome, reason);
+          }
+        });
   }
 
-  private void handleResult(
+  private void handleOutcome(
       final Map<WorkerState, List<RunCommand.Start>> batch,
-      final TransactionResult result,
-      final Throwable failure) {
-    final LeaderItems.WriteOutcome outcome =
-        failure == null
-            ? items.handleResult(
-                result, batch.keySet().stream().map(w -> StoreKeys.placement(w.id())).toList())
-            : LeaderItems.WriteOutcome.CONFLICT;
+      final LeaderItems.WriteOutcome outcome,
+      final String reason) {
     if (outcome == LeaderItems.WriteOutcome.APPLIED) {
       batch.values().forEach(starts -> starts.forEach(send));
     } else {
@@ -223,12 +211,7 @@
         superseded.run();
         return;
       }
-      context.log().log(
-          "placement-not-kept",
-          "workers",
-          batch.size(),
-          "reason",
-          failure == null ? "the revision of an item has changed" : failure.getMessage());
+      context.log().log("placement-not-kept", "workers", batch.size(), "reason", reason);
       nextTransactionAt = now + RETRY_DELAY_NANOS;
       stateChanged.run();
     }
--- a/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
@@ -1,7 +1,5 @@
 package org.lentilsail.jobs;
 
-import static org.lentilsail.concurrent.Callbacks.logged;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -9,7 +7,6 @@
 import org.lentilsail.policy.job.JobRegistry;
 import org.lentilsail.policy.job.JobRun;
 import org.lentilsail.store.Transaction;
-import org.lentilsail.store.TransactionResult;
 
 /**
  * Persists the progress of jobs, one transaction at a time. Finished runs are acknowledged to their
@@ -91,42 +88,33 @@
   }
 
   private void send(final Transaction transaction, final Batch batch) {
-    context
-        .store()
-        .commit(transaction)
-        .whenCompleteAsync(
-            logged(
-                (result, failure) -> {
-                  if (!closed) {
-                    handleResult(batch, result, failure);
-                  }
-                }),
-            context.executor());
+    items.commit(
+        context,
+        transaction,
+        batch.keys(),
+        (outcome, reason) -> {
+          if (!closed) {
+            writeInFlight = false;
+            handleOutcome(batch, outcome);
+          }
+        });
   }
 
-  private void handleResult(
-      final Batch batch, final TransactionResult result, final Throwable failure) {
-    writeInFlight = false;
-    if (failure != null) {
-      batch.jobs().forEach(jobs::markChanged);
-      waiters.addAll(batch.waiters());
-      context.executor().schedule(this::flush, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+  private void handleOutcome(final Batch batch, final LeaderItems.WriteOutcome outcome) {
+    if (outcome == LeaderItems.WriteOutcome.APPLIED) {
+      logFinishedJobs(batch);
+      batch.waiters().forEach(Runnable::run);
+      flush();
       return;
     }
-    final LeaderItems.WriteOutcome outcome = items.handleResult(result, batch.keys());
-    if (outcome != LeaderItems.WriteOutcome.APPLIED) {
-      batch.jobs().forEach(jobs::markChanged);
-      waiters.addAll(batch.waiters());
-      if (outcome == LeaderItems.WriteOutcome.SUPERSEDED) {
-        superseded.run();
-      } else {
-        flush();
-      }
-      return;
+    batch.jobs().forEach(jobs::markChanged);
+    waiters.addAll(batch.waiters());
+    switch (outcome) {
+      case SUPERSEDED -> superseded.run();
+      case CONFLICT -> flush();
+      default ->
+          context.executor().schedule(this::flush, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
-    logFinishedJobs(batch);
-    batch.waiters().forEach(Runnable::run);
-    flush();
   }
 
   private void logFinishedJobs(final Batch batch) {
--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -1,7 +1,5 @@
 package org.lentilsail.jobs;
 
-import static org.lentilsail.concurrent.Callbacks.logged;
-
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -79,30 +77,28 @@
     awaitingAdmission.clear();
     final RosterDocument document =
         new RosterDocument(members.values().stream().map(RosterDocument.Row::of).toList());
-    context
-        .store()
-        .commit(items.write(items.newTransaction(), StoreKeys.ROSTER, Documents.write(document)))
-        .whenCompleteAsync(
-            logged(
-                (result, failure) -> {
-                  writeInFlight = false;
-                  if (closed) {
-                    return;
-                  }
-                  final LeaderItems.WriteOutcome outcome =
-                      failure == null
-                          ? items.handleResult(result, List.of(StoreKeys.ROSTER))
-                          : LeaderItems.WriteOutcome.CONFLICT;
-                  switch (outcome) {
-                    case APPLIED -> {
-                      newMembers.forEach(onAdmitted);
-                      write();
-                    }
-                    case SUPERSEDED -> superseded.run();
-                    default -> retry(newMembers);
-                  }
-                }),
-            context.executor());
+    items.commit(
+        context,
+        items.write(items.newTransaction(), StoreKeys.ROSTER, Documents.write(document)),
+        List.of(StoreKeys.ROSTER),
+        (outcome, reason) -> {
+          writeInFlight = false;
+          if (!closed) {
+            handleOutcome(outcome, newMembers);
+          }
+        });
+  }
+
+  private void handleOutcome(
+      final LeaderItems.WriteOutcome outcome, final List<WorkerEntry> newMembers) {
+    switch (outcome) {
+      case APPLIED -> {
+        newMembers.forEach(onAdmitted);
+        write();
+      }
+      case SUPERSEDED -> superseded.run();
+      default -> retry(newMembers);
+    }
   }
 
   private void retry(final List<WorkerEntry> newMembers) {
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -215,29 +215,24 @@
   private void writeStatus(final Wave wave, final String status) {
     final long number = wave.request().number();
     writeInFlight = true;
-    context
-        .store()
-        .commit(
-            items
-                .write(
-                    items.newTransaction(),
-                    StoreKeys.wave(number),
-                    Documents.write(new WaveDocument(List.copyOf(wave.startedMachines()))))
-                .write(
-                    context.documents().waveStatusKey(number),
-                    context.documents().waveStatus(wave.isComplete()),
-                    0))
-        .whenCompleteAsync(
-            logged(
-                (transactionResult, failure) -> {
-                  writeInFlight = false;
-                  if (failure == null
-                      && items.handleResult(transactionResult, List.of(StoreKeys.wave(number)))
-                          == LeaderItems.WriteOutcome.APPLIED) {
-                    reportedStatus.put(number, status);
-                    context.log().log("wave-status", "wave", number, "status", status);
-                  }
-                }),
-            context.executor());
+    items.commit(
+        context,
+        items
+            .write(
+                items.newTransaction(),
+                StoreKeys.wave(number),
+                Documents.write(new WaveDocument(List.copyOf(wave.startedMachines()))))
+            .write(
+                context.documents().waveStatusKey(number),
+                context.documents().waveStatus(wave.isComplete()),
+                0),
+        List.of(StoreKeys.wave(number)),
+        (outcome, reason) -> {
+          writeInFlight = false;
+          if (outcome == LeaderItems.WriteOutcome.APPLIED) {
+            reportedStatus.put(number, status);
+            context.log().log("wave-status", "wave", number, "status", status);
+          }
+        });
   }
 }
