Limit the sum of the waits for healthy workers to 2 s

Callers saw a job, or a task of a long-running job, without a run for 3 s and longer although its pool was nearly idle.

Cause: three reasons to keep a task off a worker, each with its own clock, could follow one another. Avoidance after a failure (2 s), quarantine (2.5 s) and probation were each below 3 s, but nothing limited their sum. On probation a worker has one batch run at a time; a wide job that can never be done took that run on every worker, failed, and put all of them in quarantine again, round after round, while a job behind it in the order of steps got none. A long-running task that ended meanwhile waited in the same way.

Change: the sum counts, per long-running task and per batch job, from the moment the last run ended or the first task became ready. After 2 s the health of a worker no longer excludes it but lowers its score. A batch job gets this only while it has no run at all and less than half of the CPU of the service is in use, with 100 ms between two such starts on a worker, so that waiting jobs do not use up their attempts on a faulty worker because the healthy ones are busy. Healthy workers come first as before.

The test of the busy pool passes before and after; it fails without the condition on CPU in use.

CriticalPath is moved out of JobRun unchanged.

--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.IntToLongFunction;
 import org.lentilsail.model.job.JobProgress;
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.QueueSpec;
@@ -23,6 +22,7 @@
   private final long arrivedAt;
   private final long criticalPathMillis;
   private final Map<Integer, List<StepRun>> occurrences = new TreeMap<>();
+  private final JobActivity activity = new JobActivity();
   private QueueSpec queue;
   private JobState state = JobState.PENDING;
   private long finishedMillis;
@@ -35,7 +35,7 @@
     this.queue = queue;
     this.arrivedAt = arrivedAt;
     final List<StepSpec> steps = submitted.spec().steps();
-    this.criticalPathMillis = criticalPath(steps, i -> steps.get(i).estimateMillis());
+    this.criticalPathMillis = CriticalPath.millis(steps, i -> steps.get(i).estimateMillis());
   }
 
   /**
@@ -156,7 +156,7 @@
       longest =
           Math.max(
               longest,
-              criticalPath(
+              CriticalPath.millis(
                   submitted.spec().steps(),
                   i -> steps.get(i).isDone() ? 0 : steps.get(i).spec().estimateMillis()));
     }
@@ -204,6 +204,11 @@
     return new JobProgress(state, finishedMillis, persisted);
   }
 
+  /** Returns the number and times of the runs of the job. */
+  JobActivity activity() {
+    return activity;
+  }
+
   void updateQueue(final QueueSpec newQueue) {
     queue = newQueue;
   }
@@ -214,6 +219,9 @@
     for (int i = 0; i < specs.size(); i++) {
       steps.add(new StepRun(this, occurrence, i, specs.get(i), now));
     }
+    if (occurrencesDone == occurrences.size()) {
+      activity.recordReady(now);
+    }
     occurrences.put(occurrence, steps);
     nextOccurrence = Math.max(nextOccurrence, occurrence + 1);
   }
@@ -300,22 +308,6 @@
     finishedMillis = wallMillis;
   }
 
-  /** Returns the length of the critical path through the dependencies between steps. */
-  private static long criticalPath(
-      final List<StepSpec> steps, final IntToLongFunction durationMillis) {
-    long longest = 0;
-    final long[] finishMillis = new long[steps.size()];
-    for (int i = 0; i < finishMillis.length; i++) {
-      long startMillis = 0;
-      for (final int dependency : steps.get(i).after()) {
-        startMillis = Math.max(startMillis, finishMillis[dependency]);
-      }
-      finishMillis[i] = startMillis + durationMillis.applyAsLong(i);
-      longest = Math.max(longest, finishMillis[i]);
-    }
-    return longest;
-  }
-
   private static void addProgress(final StepRun step, final List<StepProgress> persisted) {
     final BitSet bits = new BitSet(step.tasks().size());
     final Map<Integer, Integer> failures = new HashMap<>();
--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -6,6 +6,9 @@
 
 /** Selects the worker for a single task. */
 final class Placement {
+  /** Score of a worker that is not in quarantine, for a task that has reached its wait limit. */
+  private static final double NOT_QUARANTINED_SCORE = 1e13;
+
   /** Score of a worker in the rack of the data; outweighs any difference in free CPU. */
   private static final double DATA_RACK_SCORE = 1e12;
 
@@ -31,16 +34,21 @@
   private static final int SCARCE_ATTEMPTS = 1;
 
   /**
-   * Time in ns after a failure for which a task waits rather than repeat it. Callers expect a job
-   * to have a run within 3 s while there is capacity, and the mark of a worker may never be
-   * cleared.
+   * Time in ns after a failure for which a task waits rather than repeat it. The mark of a worker
+   * may never be cleared.
+   */
+  private static final long MAX_AVOIDANCE_NANOS = WaitLimit.MAX_WAIT_NANOS;
+
+  /**
+   * Minimum time in ns between two starts of batch tasks that have reached their wait limit on a
+   * worker that may be faulty, so that not all waiting jobs lose an attempt there at once.
    */
-  private static final long MAX_AVOIDANCE_NANOS = 2_000_000_000L;
+  private static final long RISKED_START_INTERVAL_NANOS = 100_000_000L;
 
   private Placement() {}
 
   /**
-   * Selects a worker.
+   * Selects a worker; one that may be faulty only after the wait limit of the task.
    *
    * @param task the task
    * @param candidates workers of the service
@@ -48,11 +56,23 @@
    * @return the worker with the highest score, null if no worker has enough free capacity
    */
   static WorkerState choose(final Task task, final List<WorkerState> candidates, final long now) {
+    final WorkerState healthy = best(task, candidates, false, now);
+    return healthy == null && WaitLimit.isReached(task, candidates, now)
+        ? best(task, candidates, true, now)
+        : healthy;
+  }
+
+  private static WorkerState best(
+      final Task task,
+      final List<WorkerState> candidates,
+      final boolean limitReached,
+      final long now) {
     WorkerState best = null;
     double bestScore = Double.NEGATIVE_INFINITY;
     for (final WorkerState worker : candidates) {
-      if (isAllowed(task, worker, now)) {
-        final double score = score(task, worker);
+      if ((limitReached ? mayRisk(task, worker, now) : isHealthy(task, worker, now))
+          && isAllowed(task, worker, now)) {
+        final double score = score(task, worker, now);
         if (best == null || score > bestScore) {
           best = worker;
           bestScore = score;
@@ -63,11 +83,20 @@
   }
 
   private static boolean isAllowed(final Task task, final WorkerState worker, final long now) {
-    return worker.isSchedulable(now)
-        && fits(task.step(), worker)
+    return fits(task.step(), worker)
         && task.step().isPermitted(worker, now)
-        && worker.free().cpuMillis() >= task.step().spec().reserved().cpuMillis()
-        && !repeatsFailure(task, worker, now);
+        && worker.free().cpuMillis() >= task.step().spec().reserved().cpuMillis();
+  }
+
+  private static boolean isHealthy(final Task task, final WorkerState worker, final long now) {
+    return worker.isSchedulable(now) && !repeatsFailure(task, worker, now);
+  }
+
+  /** Returns whether a task that has reached its wait limit may start on a worker. */
+  private static boolean mayRisk(final Task task, final WorkerState worker, final long now) {
+    return worker.isAvailable(now)
+        && (task.step().spec().longRunning()
+            || now - worker.lastStartAt() >= RISKED_START_INTERVAL_NANOS);
   }
 
   /** Returns whether a worker has the free resources and meets the other requirements of a step. */
@@ -109,7 +138,7 @@
     return count;
   }
 
-  private static double score(final Task task, final WorkerState worker) {
+  private static double score(final Task task, final WorkerState worker, final long now) {
     final StepSpec spec = task.step().spec();
     final Resources free = worker.free();
     double score = -free.cpuMillis();
@@ -120,6 +149,9 @@
     if (!spec.dataRack().isEmpty() && worker.hasLabel(spec.dataRack())) {
       score += DATA_RACK_SCORE;
     }
+    if (!worker.health().isQuarantined(now)) {
+      score += NOT_QUARANTINED_SCORE;
+    }
     if (task.hasFailed() && !worker.health().hasFailures()) {
       score += NO_FAILURES_SCORE;
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -53,6 +53,7 @@
     final TaskRun started = new TaskRun(task, run, worker, now);
     task.recordRunNumber(run);
     task.runs().add(started);
+    task.step().job().activity().recordStart();
     worker.add(started);
     return started;
   }
@@ -269,8 +270,10 @@
   /** Removes a run that has ended. */
   void drop(final TaskRun run, final long now) {
     run.worker().remove(run);
-    run.task().runs().remove(run);
-    run.task().restartWait(now);
+    if (run.task().runs().remove(run)) {
+      run.task().restartWait(now);
+      run.task().step().job().activity().recordEnd(now);
+    }
   }
 
   /** Returns the run of a task on a worker, null if there is none with the number. */
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/WaitLimit.java
@@ -0,0 +1,52 @@
+package org.lentilsail.policy.job;
+
+import java.util.List;
+
+/**
+ * Limits the total time for which the health of workers keeps a job, or a long-running task,
+ * without a run. Avoidance after a failure, quarantine and probation may follow one another; their
+ * sum counts, from the moment at which the last run ended or the first task became ready. Once the
+ * limit is reached, the health of a worker only lowers its score.
+ */
+final class WaitLimit {
+  /**
+   * Maximum time in ns. Callers expect a run within 3 s, which has to include the delay until the
+   * end of a run is reported, a scheduling pass and a start.
+   */
+  static final long MAX_WAIT_NANOS = 2_000_000_000L;
+
+  private WaitLimit() {}
+
+  /**
+   * Returns whether a task has to start on a worker that may be faulty if no other can take it. A
+   * job of batch tasks needs one run, and only while less than half of the CPU of the service is in
+   * use: the attempts of waiting jobs must not be used up on a faulty worker because the healthy
+   * ones are busy.
+   *
+   * @param task a task without a run
+   * @param workers workers of its service
+   * @param now monotonic time in ns
+   * @return whether the limit is reached
+   */
+  static boolean isReached(final Task task, final List<WorkerState> workers, final long now) {
+    if (task.step().spec().longRunning()) {
+      return now - task.waitingSince() >= MAX_WAIT_NANOS;
+    }
+    final JobActivity activity = task.step().job().activity();
+    return !activity.hasRuns()
+        && now - activity.idleSince() >= MAX_WAIT_NANOS
+        && isLessThanHalfInUse(workers);
+  }
+
+  private static boolean isLessThanHalfInUse(final List<WorkerState> workers) {
+    long free = 0;
+    long capacity = 0;
+    for (final WorkerState worker : workers) {
+      if (worker.isRegistered() && worker.isResponding()) {
+        free += worker.free().cpuMillis();
+        capacity += worker.entry().capacity().cpuMillis();
+      }
+    }
+    return free * 2 > capacity;
+  }
+}
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -27,6 +27,12 @@
   private long suspendedUntil = Long.MIN_VALUE;
   private Resources reserved = Resources.NONE;
 
+  /**
+   * Monotonic time in ns of the last start. The initial value lies before any monotonic time and
+   * does not overflow in differences.
+   */
+  private long lastStartAt = Long.MIN_VALUE / 2;
+
   /**
    * Creates the state of a worker that has not been polled yet.
    *
@@ -259,19 +265,29 @@
   }
 
   /**
-   * Returns whether the worker may get new tasks.
+   * Returns whether the worker can run new tasks, whatever its health.
    *
    * @param now monotonic time in ns
-   * @return whether it is registered, synced, responding and healthy, and not cordoned, draining,
-   *     suspended or quarantined
+   * @return whether it is registered, synced and responding, and not cordoned, draining or
+   *     suspended
    */
-  public boolean isSchedulable(final long now) {
+  public boolean isAvailable(final long now) {
     return registered
         && synced
         && responding
         && !cordoned
         && !entry.draining()
-        && now >= suspendedUntil
+        && now >= suspendedUntil;
+  }
+
+  /**
+   * Returns whether the worker may get new tasks.
+   *
+   * @param now monotonic time in ns
+   * @return whether it is available and not in quarantine, and has no batch run on probation
+   */
+  public boolean isSchedulable(final long now) {
+    return isAvailable(now)
         && !health.isQuarantined(now)
         && (!health.onProbation() || !hasBatchRun());
   }
@@ -299,6 +315,11 @@
     return entry.labels().contains(label);
   }
 
+  /** Returns the monotonic time in ns of the last start, also one that was adopted. */
+  long lastStartAt() {
+    return lastStartAt;
+  }
+
   WorkerHealth health() {
     return health;
   }
@@ -309,6 +330,7 @@
 
   void add(final TaskRun run) {
     runs.add(run);
+    lastStartAt = run.createdAt();
     reserved = reserved.plus(run.reserved());
   }
 
