Do not restart the wait of a task for a start without effect

Callers saw a job without a run for 3 s though the limit of the sum of waits had ended at 2 s.

Cause: each end of a run restarted the wait of its task, also of a run that had never begun because its start was rejected or unanswered. With the wait the limit began anew, and so did the time after which a long-running task preempts batch runs.

Change: only a run that has begun restarts the wait.

--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
@@ -33,6 +33,7 @@
     }
     final TaskRun run = RunTracker.find(task, worker, finished.run());
     if (run != null) {
+      run.markBegun();
       tracker.drop(run, now);
       if (finished.outcome() == RunOutcome.DONE) {
         task.step().recordDuration(now - run.createdAt());
--- a/policy/src/main/java/org/lentilsail/policy/job/JobActivity.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobActivity.java
@@ -13,14 +13,14 @@
   /**
    * Returns since when a job without runs has been waiting.
    *
-   * @return monotonic time in ns at which its last run ended, or at which its first task became
-   *     ready
+   * @return monotonic time in ns at which its last run that had begun ended, or at which its first
+   *     task became ready
    */
   long idleSince() {
     return idleSince;
   }
 
-  void recordReady(final long now) {
+  void restartWait(final long now) {
     idleSince = now;
   }
 
@@ -28,8 +28,7 @@
     runs++;
   }
 
-  void recordEnd(final long now) {
+  void recordEnd() {
     runs--;
-    idleSince = now;
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -220,7 +220,7 @@
       steps.add(new StepRun(this, occurrence, i, specs.get(i), now));
     }
     if (occurrencesDone == occurrences.size()) {
-      activity.recordReady(now);
+      activity.restartWait(now);
     }
     occurrences.put(occurrence, steps);
     nextOccurrence = Math.max(nextOccurrence, occurrence + 1);
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -79,6 +79,7 @@
    */
   public void startAccepted(final TaskRun run, final long now) {
     run.confirm(now);
+    run.markBegun();
     run.task().step().job().markRunning();
   }
 
@@ -267,12 +268,20 @@
     }
   }
 
-  /** Removes a run that has ended. */
+  /**
+   * Removes a run that has ended. The wait of its task goes on if the run has not begun, since a
+   * task whose starts have no effect is still without a run.
+   */
   void drop(final TaskRun run, final long now) {
     run.worker().remove(run);
-    if (run.task().runs().remove(run)) {
-      run.task().restartWait(now);
-      run.task().step().job().activity().recordEnd(now);
+    final Task task = run.task();
+    if (!task.runs().remove(run)) {
+      return;
+    }
+    task.step().job().activity().recordEnd();
+    if (run.hasBegun()) {
+      task.restartWait(now);
+      task.step().job().activity().restartWait(now);
     }
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/Task.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Task.java
@@ -109,7 +109,7 @@
   }
 
   /**
-   * Returns since when the task has had no run.
+   * Returns since when the task has had no run; one that has not begun does not count.
    *
    * @return monotonic time in ns
    */
--- a/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
@@ -9,6 +9,7 @@
   private final WorkerState worker;
   private final long createdAt;
   private RunPhase phase = RunPhase.STARTING;
+  private boolean begun;
   private long confirmedAt = Long.MAX_VALUE;
   private long startExpiry;
   private long unconfirmedSince;
@@ -157,6 +158,15 @@
     }
   }
 
+  /** Returns whether the worker is known to have begun the run. */
+  boolean hasBegun() {
+    return begun;
+  }
+
+  void markBegun() {
+    begun = true;
+  }
+
   void markUnconfirmed(final long now) {
     if (phase == RunPhase.STARTING) {
       phase = RunPhase.UNCONFIRMED;
--- a/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
@@ -14,8 +14,12 @@
 import static org.lentilsail.policy.job.RunOutcome.DONE;
 import static org.lentilsail.policy.job.RunOutcome.EXPIRED;
 import static org.lentilsail.policy.job.RunOutcome.FAILED;
+import static org.lentilsail.policy.job.RunOutcome.STOPPED;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -31,7 +35,13 @@
 class WaitingTimeTest {
   private static final int WORKERS = 8;
   private static final int ATTEMPTS = 4;
+  private static final int SEEDS = 50;
   private static final long LIMIT_NANOS = 3 * SECOND;
+  private static final double MAX_HOPELESS_SHARE = 0.06;
+  private static final double MAX_STUCK_SHARE = 0.02;
+  private static final double REJECTED_SHARE = 0.01;
+  private static final double FAILED_SHARE = 0.01;
+  private static final Ending REJECTED = new Ending(0, null, false);
   private static final Ending FAILS_AT_ONCE = new Ending(100 * MILLI, FAILED, false);
   private static final Ending SUCCEEDS = new Ending(500 * MILLI, DONE, false);
   private static final Ending FAILS = new Ending(1_900 * MILLI, FAILED, false);
@@ -91,6 +101,107 @@
     assertThat(fixture.place(2_400 * MILLI), is(empty()));
   }
 
+  /** Guards against a wait that begins anew because the start that should end it is rejected. */
+  @Test
+  void rejectedStartAfterQuarantine() {
+    final Set<TaskRun> started = new HashSet<>();
+    final PoolSimulation pool =
+        new PoolSimulation(1, run -> started.add(run) && started.size() == 1 ? REJECTED : SUCCEEDS);
+    pool.fixture.fleet.worker("w0").health().quarantine(0);
+    pool.fixture.submit("holds", 0, step(1, 1_000, 1_000));
+    pool.runUntil(1_500 * MILLI);
+    pool.fixture.fleet.worker("w0").health().quarantine(pool.now());
+    pool.runUntil(6 * SECOND);
+    assertThat(pool.longestJobWait, lessThan(LIMIT_NANOS));
+  }
+
+  /** Guards against a wait that begins anew because an unanswered start had no effect. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void startThatNeverBeganDoesNotRestartWait(final boolean longRunning) {
+    final JobFixture fixture = new PoolSimulation(1, run -> SUCCEEDS).fixture;
+    final JobRun job =
+        fixture.submit("holds", 0, longRunning ? longRunning(1, 1, 1) : step(1, 1_000, 1_000));
+    final TaskRun run = fixture.scheduler.place(0).get(0).run();
+    fixture.tracker.startUnconfirmed(run, SECOND);
+    fixture.tracker.stop(run, "test");
+    fixture.tracker.stopAccepted(run, SECOND);
+    run.worker().health().quarantine(SECOND);
+    fixture.tracker.applyReport(
+        run.worker(), new WorkerReport(3_000, 1, List.of(), List.of()), 2 * SECOND, 2 * SECOND, 0);
+    assertThat(job.activity().hasRuns(), is(false));
+    assertThat(fixture.place(2 * SECOND), hasSize(1));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {2, 3, WORKERS})
+  void randomDays(final int workers) {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      final PoolSimulation pool = randomDay(workers, seed);
+      assertThat("job, seed " + seed, pool.longestJobWait, lessThan(LIMIT_NANOS));
+      assertThat("long-running, seed " + seed, pool.longestTaskWait, lessThan(LIMIT_NANOS));
+    }
+  }
+
+  /** Submits jobs for 20 s, with hopeless jobs, a faulty worker, stuck runs and rejected starts. */
+  static PoolSimulation randomDay(final int workers, final int seed) {
+    final Random random = new Random(seed);
+    final Set<String> hopeless = new HashSet<>();
+    final double stuck = MAX_STUCK_SHARE * random.nextDouble();
+    final String faulty = "w" + random.nextInt(2 * workers);
+    final PoolSimulation pool =
+        new PoolSimulation(
+            workers,
+            run -> {
+              final boolean fails =
+                  hopeless.contains(run.task().id().job()) || run.worker().id().equals(faulty);
+              return ending(random, run.isLongRunning(), fails, stuck);
+            });
+    useAttempts(pool, ATTEMPTS);
+    pool.fixture.submit("holds", 0, longRunning(5, 1, 1));
+    final int ticksPerJob = 5 + random.nextInt(36);
+    final double hopelessShare = MAX_HOPELESS_SHARE * random.nextDouble();
+    while (pool.now() < 30 * SECOND) {
+      if (pool.now() < 20 * SECOND && random.nextInt(ticksPerJob) == 0) {
+        final JobRun job = pool.fixture.submit("holds", pool.now(), randomSteps(random));
+        if (random.nextDouble() < hopelessShare) {
+          hopeless.add(job.id());
+        }
+      }
+      pool.tick();
+    }
+    return pool;
+  }
+
+  private static Ending ending(
+      final Random random, final boolean longRunning, final boolean fails, final double stuck) {
+    final long after = (5 + random.nextInt(16)) * PoolSimulation.TICK_NANOS;
+    if (random.nextDouble() < REJECTED_SHARE) {
+      return REJECTED;
+    }
+    if (longRunning) {
+      return new Ending(4 * after, random.nextBoolean() ? FAILED : EXPIRED, false);
+    }
+    if (random.nextDouble() < stuck) {
+      return new Ending(after, STOPPED, true);
+    }
+    return new Ending(after, fails || random.nextDouble() < FAILED_SHARE ? FAILED : DONE, false);
+  }
+
+  private static StepSpec[] randomSteps(final Random random) {
+    final StepSpec[] steps = new StepSpec[1 + random.nextInt(3)];
+    for (int i = 0; i < steps.length; i++) {
+      steps[i] =
+          StepSpecBuilder.tasks(6 + random.nextInt(3))
+              .demand(1_000 * (1 + random.nextInt(4)), 1_000)
+              .estimateMillis(1_000)
+              .maxPerWorker(random.nextInt(2))
+              .after(i == 0 ? List.of() : List.of(i - 1))
+              .build();
+    }
+    return steps;
+  }
+
   private static void useAttempts(final PoolSimulation pool, final int attempts) {
     final JobConfiguration current = pool.fixture.jobs.configuration();
     final QueueSpec queue =
