Keep a late answer to a claim from hiding that the leader is gone

What callers saw: after a planned stop right after a claim, beside a slow store, no daemon became leader again: accepted jobs stayed as they were until another daemon started. Found by reading, not seen in a deployment.

Cause: the answer to a rejected claim names the leader of that moment. If it arrived after the watch had shown that this leader was gone, the daemon took the older state for the newer one; the watch had nothing more to tell, so the daemon never claimed again. The class is an older answer that replaces newer knowledge. The other item of the answer, the term, was already compared by its number.

Evidence: JobNodeTest.lateAnswerToClaimDoesNotHideThatLeaderIsGone fails before (no term within 8 s) and passes after.

Why it works: LeaderPresence keeps the revision up to which leaders are known to be gone, from the watch and from what a full read shows, and a leader that is not newer is ignored. The stand-in of the store can delay answers of writes, and rejects items of leases that have ended, as the platform's store does.

--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -55,9 +54,9 @@
   private final TermListener listener;
   private final CapacityPreference capacity;
   private final PrefixWatcher watcher;
+  private final LeaderPresence leader = new LeaderPresence();
   private final long createdAt;
   private boolean loaded;
-  private boolean leaderPresent;
   private boolean claiming;
   private boolean resigned;
   private long knownTerm;
@@ -123,20 +122,25 @@
   @Override
   public void onSnapshot(final List<StoredItem> items) {
     loaded = true;
-    leaderPresent = false;
-    for (final StoredItem item : items) {
-      applyItem(item.key(), Optional.of(item));
+    leader.forget();
+    items.forEach(this::applyItem);
+    if (!leader.isPresent()) {
+      leader.gone(items.stream().mapToLong(StoredItem::revision).max().orElse(0));
     }
   }
 
   @Override
   public void onChange(final ItemChange change) {
-    applyItem(change.key(), change.item());
+    if (change.item().isPresent()) {
+      applyItem(change.item().get());
+    } else if (change.key().equals(StoreKeys.LEADER)) {
+      leader.gone(change.revision());
+    }
   }
 
   @Override
   public void onBatchEnd() {
-    if (loaded && !leaderPresent && !claiming && !resigned) {
+    if (loaded && !leader.isPresent() && !claiming && !resigned) {
       final long delayMillis = ownTerm != null ? 0 : claimDelay();
       claiming = true;
       executor.schedule(this::claim, delayMillis, TimeUnit.MILLISECONDS);
@@ -150,13 +154,13 @@
         + Math.min((long) (uptimeSeconds * CLAIM_DELAY_MILLIS_PER_SECOND), MAX_UPTIME_DELAY_MILLIS);
   }
 
-  private void applyItem(final String key, final Optional<StoredItem> item) {
-    if (key.equals(StoreKeys.LEADER)) {
-      leaderPresent = item.isPresent();
-    } else if (key.equals(StoreKeys.TERM) && item.isPresent()) {
-      handleTerm(TermDocument.read(item.get()), item.get().revision());
-    } else if (key.equals(StoreKeys.OFFER) && item.isPresent()) {
-      Documents.<OfferDocument>read(Documents.OFFER, item.get()).ifPresent(this::handleOffer);
+  private void applyItem(final StoredItem item) {
+    if (item.key().equals(StoreKeys.LEADER)) {
+      leader.shown(item.revision());
+    } else if (item.key().equals(StoreKeys.TERM)) {
+      handleTerm(TermDocument.read(item), item.revision());
+    } else if (item.key().equals(StoreKeys.OFFER)) {
+      Documents.<OfferDocument>read(Documents.OFFER, item).ifPresent(this::handleOffer);
     }
   }
 
@@ -181,7 +185,7 @@
   }
 
   private void sendOffer(final TermDocument document) {
-    if (knownTerm != document.term() || !leaderPresent || resigned) {
+    if (knownTerm != document.term() || !leader.isPresent() || resigned) {
       return;
     }
     final OfferDocument offer = new OfferDocument(document.term(), daemon, capacity.ownCpuMillis());
@@ -227,12 +231,12 @@
   }
 
   private void leaseExpired() {
-    leaderPresent = false;
+    leader.forget();
     onBatchEnd();
   }
 
   private void claim() {
-    if (resigned || leaderPresent) {
+    if (resigned || leader.isPresent()) {
       claiming = false;
       return;
     }
@@ -285,9 +289,7 @@
       return;
     }
     lease.discard(granted);
-    for (final StoredItem item : result.currentItems()) {
-      applyItem(item.key(), Optional.of(item));
-    }
+    result.currentItems().forEach(this::applyItem);
     claimFailed("another daemon has claimed the term");
   }
 
@@ -320,7 +322,7 @@
     ownTerm = new Term(termNumber, revision);
     knownTerm = termNumber;
     termRevision = revision;
-    leaderPresent = true;
+    leader.claimed();
     lease.hold(granted, sentAt);
     log.log("control-claimed", "term", termNumber, "uninterrupted", uninterrupted);
     listener.elected(ownTerm, uninterrupted);
--- a/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
@@ -114,7 +114,7 @@
     };
   }
 
-  private WriteOutcome handleResult(final TransactionResult result, final Collection<String> keys) {
+  WriteOutcome handleResult(final TransactionResult result, final Collection<String> keys) {
     if (result.applied()) {
       keys.forEach(key -> revisions.put(key, result.revision()));
       return WriteOutcome.APPLIED;
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.lentilsail.model.error.ErrorCode;
+import org.lentilsail.model.error.LentilsailException;
 import org.lentilsail.model.time.TimeSource;
 import org.lentilsail.store.GrantedLease;
 import org.lentilsail.store.ItemChange;
@@ -32,6 +36,7 @@
   private final Map<Long, Long> leaseExpiries = new HashMap<>();
   private final Map<Long, Long> timesToLive = new HashMap<>();
   private final Map<String, StoreFault> faults = new HashMap<>();
+  private final Map<String, LongSupplier> answerDelays = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
   private long revision = 1;
   private long historyStart = 1;
@@ -85,6 +90,16 @@
     faults.put(daemon, fault);
   }
 
+  /**
+   * Delays the answers of writes to a daemon, so that answers of watches may overtake them.
+   *
+   * @param daemon id of the daemon
+   * @param millis delay in ms of the next answer, below the timeout of a call
+   */
+  public synchronized void delayAnswers(final String daemon, final LongSupplier millis) {
+    answerDelays.put(daemon, millis);
+  }
+
   /** Compacts the history, so that the clients of watches have to read all items again. */
   public synchronized void compact() {
     history.clear();
@@ -125,6 +140,10 @@
     return Optional.ofNullable(entries.get(key)).map(Entry::item);
   }
 
+  synchronized long answerDelayMillis(final String daemon) {
+    return answerDelays.getOrDefault(daemon, () -> 0L).getAsLong();
+  }
+
   synchronized StoreFault faultOf(final String daemon) {
     return faults.getOrDefault(daemon, StoreFault.NONE);
   }
@@ -175,6 +194,12 @@
     if (!conditionsHold) {
       return new TransactionResult(false, 0, current);
     }
+    for (final Transaction.Write write : transaction.writes()) {
+      if (write.lease() != 0 && !timesToLive.containsKey(write.lease())) {
+        throw new LentilsailException(
+            ErrorCode.PLATFORM_UNAVAILABLE, "the lease has ended", "request another lease");
+      }
+    }
     revision++;
     transaction.writes().forEach(write -> write(write.key(), write.value(), write.lease()));
     transaction.removals().forEach(this::delete);
@@ -249,11 +274,12 @@
 
   private WatchBatch changes(final String prefix, final long after) {
     final List<ItemChange> found = new ArrayList<>();
-    for (final ItemChange change : history) {
-      if (change.revision() > after && change.key().startsWith(prefix)) {
-        found.add(change);
+    for (int i = history.size() - 1; i >= 0 && history.get(i).revision() > after; i--) {
+      if (history.get(i).key().startsWith(prefix)) {
+        found.add(history.get(i));
       }
     }
+    Collections.reverse(found);
     return new WatchBatch(false, found, revision);
   }
 
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
@@ -57,7 +57,7 @@
 
   @Override
   public CompletableFuture<TransactionResult> commit(final Transaction transaction) {
-    return call(true, () -> CompletableFuture.completedFuture(store.commit(transaction)));
+    return call(true, () -> commitNow(transaction));
   }
 
   @Override
@@ -80,6 +80,14 @@
         });
   }
 
+  private CompletableFuture<TransactionResult> commitNow(final Transaction transaction) {
+    try {
+      return CompletableFuture.completedFuture(store.commit(transaction));
+    } catch (final LentilsailException error) {
+      return CompletableFuture.failedFuture(error);
+    }
+  }
+
   private <T> CompletableFuture<T> call(
       final boolean isWrite, final Supplier<CompletableFuture<T>> action) {
     final CompletableFuture<T> response = new CompletableFuture<>();
@@ -112,7 +120,7 @@
                   (value, error) ->
                       executor.schedule(
                           () -> respond(value, error, isWrite, response),
-                          NETWORK_DELAY_MILLIS,
+                          NETWORK_DELAY_MILLIS + (isWrite ? store.answerDelayMillis(daemon) : 0),
                           TimeUnit.MILLISECONDS));
     }
   }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -327,4 +327,36 @@
     deployment.advance(SimulatedDeployment.FAIL_OVER.plusSeconds(1));
     assertThat(deployment.state(third, JOB), is(Optional.of(JobState.COMPLETED)));
   }
+
+  /**
+   * Guards against jobs that are stuck without a leader: a daemon learned from the late answer to
+   * its claim that there was a leader, after its watch had shown that this leader was gone.
+   */
+  @Test
+  void lateAnswerToClaimDoesNotHideThatLeaderIsGone() {
+    final JobNode third = deployment.startNode("d3");
+    deployment.submit(second, JOB, step(2), step(2, 0), step(2, 1));
+    deployment.store.delayAnswers("d2", () -> 300);
+    deployment.isolate("d1");
+    while (!termIsOf("d3")) {
+      deployment.advance(Duration.ofMillis(1));
+    }
+    deployment.advance(Duration.ofMillis(400));
+    third.resign();
+    deployment.advance(Duration.ofMillis(20));
+    deployment.isolate("d3");
+    deployment.advance(Duration.ofSeconds(1));
+    deployment.store.delayAnswers("d2", () -> 0);
+    deployment.advance(Duration.ofSeconds(8));
+    assertThat(termIsOf("d2"), is(true));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
+  private boolean termIsOf(final String daemon) {
+    return deployment
+        .store
+        .get("lead/term")
+        .filter(item -> new String(item.value(), StandardCharsets.UTF_8).contains(daemon))
+        .isPresent();
+  }
 }
