Do not give up leadership for a late answer that shows the previous term

A leader that had claimed its next term after an outage of the store could drop its state and pause all work for about the lease of the leader (1.2 s) and a takeover.

Cause: a rejected transaction of the previous term shows that term; if its answer arrived after the next claim, any other revision of the term counted as one of another daemon. Looked for in the other answers (submissions, waiting counts, configuration, registry): they are compared by version or come from one watch.

Evidence: LeaderItemsTest, row with revision 10, fails before (SUPERSEDED) and passes after. JobLifeTest with delayed answers did not show it.

Why it works: revisions only grow, so only a newer revision of the term can belong to a later leader.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
@@ -114,6 +114,7 @@
     };
   }
 
+  /** Updates the tracked revisions after a transaction and returns its outcome. */
   WriteOutcome handleResult(final TransactionResult result, final Collection<String> keys) {
     if (result.applied()) {
       keys.forEach(key -> revisions.put(key, result.revision()));
@@ -123,7 +124,7 @@
     boolean superseded = false;
     for (final StoredItem item : result.currentItems()) {
       if (item.key().equals(StoreKeys.TERM)) {
-        superseded = item.revision() != term.revision();
+        superseded = item.revision() > term.revision();
       } else if (keys.contains(item.key())) {
         track(item);
       }
