Apply the wait limit to gangs, preemption and permits

Callers would see a gang without a run for 17.2 s, or a long-running task without one for over 2.9 s in a full pool, while all workers are in quarantine or on probation; and a job whose queue requires advice would wait for the end of the quarantine.

Cause: three other users of the health of workers knew no limit. GangPlacement and Preemption took healthy workers only, and AdvicePlanner asked for permits for these only, so that a job at its limit had none for the others.

Change: all three use WaitLimit. Permits are asked for 0.5 s before the limit, because a request takes time.

Evidence: the three new tests of WaitingTimeTest failed before and pass.

--- a/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
@@ -19,6 +19,12 @@
   /** Number of workers named for each worker that a step needs; the policy refuses some of them. */
   private static final int NAMED_PER_NEEDED_WORKER = 3;
 
+  /**
+   * Time in ns before the wait limit of a job from which permits are requested for workers that may
+   * be faulty; a request takes up to this time.
+   */
+  private static final long REQUEST_LEAD_NANOS = 500_000_000L;
+
   private final JobRegistry jobs;
   private final Fleet fleet;
 
@@ -73,10 +79,13 @@
   }
 
   private List<WorkerState> workersToAsk(final StepRun step, final long now) {
+    final List<WorkerState> workers = fleet.ofService(jobs.serviceOf(step.job()));
+    final boolean limitReached = WaitLimit.isReached(step, workers, now + REQUEST_LEAD_NANOS);
     final List<WorkerState> undecided = new ArrayList<>();
     int taskCapacity = 0;
-    for (final WorkerState worker : fleet.ofService(jobs.serviceOf(step.job()))) {
-      if (!worker.isSchedulable(now) || !Placement.fits(step, worker)) {
+    for (final WorkerState worker : workers) {
+      final boolean usable = limitReached ? worker.isAvailable(now) : worker.isSchedulable(now);
+      if (!usable || !Placement.fits(step, worker)) {
         continue;
       }
       if (!step.permits().validPermit(worker, now).isEmpty()) {
--- a/policy/src/main/java/org/lentilsail/policy/job/GangPlacement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/GangPlacement.java
@@ -12,7 +12,7 @@
   private GangPlacement() {}
 
   /**
-   * Selects a worker for each task.
+   * Selects a worker for each task; one that may be faulty only after the wait limit of the job.
    *
    * @param step the gang
    * @param candidates workers of the service
@@ -21,10 +21,17 @@
    */
   static List<WorkerState> choose(
       final StepRun step, final List<WorkerState> candidates, final long now) {
-    final List<WorkerState> schedulable =
-        candidates.stream()
-            .filter(worker -> worker.isSchedulable(now) && step.isPermitted(worker, now))
-            .toList();
+    final List<WorkerState> permitted =
+        candidates.stream().filter(worker -> step.isPermitted(worker, now)).toList();
+    final List<WorkerState> healthy =
+        assignByRack(step, permitted.stream().filter(worker -> worker.isSchedulable(now)).toList());
+    return healthy.isEmpty() && WaitLimit.isReached(step, candidates, now)
+        ? assignByRack(step, permitted.stream().filter(worker -> worker.isAvailable(now)).toList())
+        : healthy;
+  }
+
+  private static List<WorkerState> assignByRack(
+      final StepRun step, final List<WorkerState> schedulable) {
     if (!step.spec().sameRack()) {
       return assign(step, schedulable);
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/Preemption.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Preemption.java
@@ -32,13 +32,17 @@
     if (!task.step().spec().longRunning() || now - task.waitingSince() < WAIT_NANOS) {
       return List.of();
     }
+    final boolean limitReached = WaitLimit.isReached(task, workers, now);
     List<TaskRun> best = List.of();
     long leastWaste = Long.MAX_VALUE;
     for (final WorkerState worker : workers) {
       if (isStopping(worker)) {
         return List.of();
       }
-      final List<TaskRun> victims = victims(task, worker, now);
+      final List<TaskRun> victims =
+          (limitReached ? worker.isAvailable(now) : worker.isSchedulable(now))
+              ? victims(task, worker, now)
+              : List.of();
       final long work = victims.stream().mapToLong(run -> wastedWork(run, now)).sum();
       if (!victims.isEmpty() && work < leastWaste) {
         best = victims;
@@ -57,7 +61,7 @@
   }
 
   private static List<TaskRun> victims(final Task task, final WorkerState worker, final long now) {
-    if (!worker.isSchedulable(now) || !Placement.suits(task.step(), worker)) {
+    if (!Placement.suits(task.step(), worker)) {
       return List.of();
     }
     final List<TaskRun> candidates = new ArrayList<>();
--- a/policy/src/main/java/org/lentilsail/policy/job/WaitLimit.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WaitLimit.java
@@ -29,10 +29,20 @@
    * @return whether the limit is reached
    */
   static boolean isReached(final Task task, final List<WorkerState> workers, final long now) {
-    if (task.step().spec().longRunning()) {
-      return now - task.waitingSince() >= MAX_WAIT_NANOS;
-    }
-    final JobActivity activity = task.step().job().activity();
+    return task.step().spec().longRunning()
+        ? now - task.waitingSince() >= MAX_WAIT_NANOS
+        : isReached(task.step().job().activity(), workers, now);
+  }
+
+  /** Returns whether a waiting task of a step has reached the limit. */
+  static boolean isReached(final StepRun step, final List<WorkerState> workers, final long now) {
+    return step.spec().longRunning()
+        ? step.tasks().stream().anyMatch(task -> task.isWaiting() && isReached(task, workers, now))
+        : isReached(step.job().activity(), workers, now);
+  }
+
+  private static boolean isReached(
+      final JobActivity activity, final List<WorkerState> workers, final long now) {
     return !activity.hasRuns()
         && now - activity.idleSince() >= MAX_WAIT_NANOS
         && isLessThanHalfInUse(workers);
