Place each long-running task of a step at its own wait limit

Callers would see a long-running task without a run for longer than the limit of 2 s, while another one of its step that ended later, and has a lower number, still waits for its own limit; with tasks that end in turn for longer still.

Cause: a pass left a step at the first task that had not failed and found no worker. That is right for batch tasks, which are alike, but the limit of a long-running task counts from the end of its own last run.

Change: a pass tries each task of a long-running step.

Evidence: the new test, a task without a run for 2 s behind one for 1 s, failed before and passes.

--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -112,7 +112,8 @@
       }
       Preemption.choose(task, candidates, now)
           .forEach(run -> tracker.stop(run, "preempted by a long-running task"));
-      if (!task.hasFailed()) {
+      if (!task.hasFailed() && !step.spec().longRunning()) {
+        // The other tasks of a batch step would find no worker either.
         return;
       }
     }
--- a/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
@@ -160,6 +160,18 @@
     assertThat(job.activity().hasRuns(), is(true));
   }
 
+  /** Guards against a long-running task that waits behind another one of its step. */
+  @Test
+  void longRunningTaskDoesNotWaitForOthersOfItsStep() {
+    final JobFixture fixture = new PoolSimulation(2, run -> NEVER_ENDS).fixture;
+    fixture.submit("holds", 0, longRunning(2, 1, 1));
+    final List<RunCommand.Start> starts = fixture.place(0);
+    fixture.fleet.workers().forEach(worker -> worker.health().quarantine(2 * SECOND));
+    fixture.finish(starts.get(1).run(), EXPIRED, SECOND);
+    fixture.finish(starts.get(0).run(), EXPIRED, 2 * SECOND);
+    assertThat(fixture.place(3 * SECOND), hasSize(1));
+  }
+
   /** Guards against a job that may use no worker since permits were only asked for healthy ones. */
   @Test
   void permitsAreAskedForBeforeWaitLimit() {
