Log the jobs without a run and what keeps the workers from them

Each second the leader logs the three jobs that have been without a run for the longest time, from 1 s on, with the workers of their service by reason, and publishes the longest time.

--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import org.lentilsail.policy.job.Fleet;
+import org.lentilsail.policy.job.IdleJob;
+import org.lentilsail.policy.job.IdleJobs;
 import org.lentilsail.policy.job.JobRegistry;
 import org.lentilsail.policy.job.JobRun;
 import org.lentilsail.policy.job.PoolLoad;
@@ -19,9 +21,11 @@
   /** Interval in ns between publications; callers accept counts that are up to 2 s old. */
   private static final long PUBLISH_INTERVAL_NANOS = 700_000_000L;
 
-  /** Interval in ns between log lines about pool load. */
+  /** Interval in ns between log lines about pool load and jobs without a run. */
   private static final long LOG_INTERVAL_NANOS = 1_000_000_000L;
 
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   /** Interval in ns between removals. */
   private static final long REMOVE_INTERVAL_NANOS = 5_000_000_000L;
 
@@ -65,6 +69,7 @@
     if (now - loggedAt >= LOG_INTERVAL_NANOS) {
       loggedAt = now;
       new PoolLoadCalculator(jobs, fleet).measure(now).forEach(this::logLoad);
+      logIdleJobs(new IdleJobs(jobs, fleet).find(now));
     }
     if (!writeInFlight && now - publishedAt >= PUBLISH_INTERVAL_NANOS) {
       publish(now);
@@ -100,6 +105,22 @@
         load.waitingTasks());
   }
 
+  private void logIdleJobs(final List<IdleJob> idleJobs) {
+    context.metrics().recordLongestIdleJob(idleJobs.isEmpty() ? 0 : idleJobs.get(0).idleNanos());
+    for (final IdleJob idle : idleJobs) {
+      context.log().log(
+          "job-idle",
+          "job",
+          idle.job(),
+          "service",
+          idle.service(),
+          "idleMs",
+          idle.idleNanos() / NANOS_PER_MILLI,
+          "workers",
+          idle.workers());
+    }
+  }
+
   private void publish(final long now) {
     final Map<String, Integer> counts = new HashMap<>();
     for (final JobRun job : jobs.active()) {
--- a/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
@@ -1,6 +1,7 @@
 package org.lentilsail.jobs;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
@@ -20,6 +21,7 @@
   private final Counter endedJobs;
   private final Histogram jobAge;
   private final Counter machineCommands;
+  private final Gauge longestIdleJob;
 
   /**
    * Creates and registers the metrics.
@@ -37,6 +39,11 @@
     jobAge = histogram(registry, "job_seconds", "Time from the acceptance of a job to its end");
     machineCommands =
         counter(registry, "machine_orders", "Orders about machines by answer", "kind", "answer");
+    longestIdleJob =
+        Gauge.builder()
+            .name("lentilsail_longest_idle_job_seconds")
+            .help("Longest time for which a job with a ready task has had no run")
+            .register(registry);
   }
 
   /**
@@ -65,6 +72,10 @@
     machineCommands.labelValues(kind, answer).inc();
   }
 
+  void recordLongestIdleJob(final long idleNanos) {
+    longestIdleJob.set(idleNanos / NANOS_PER_SECOND);
+  }
+
   private static Counter counter(
       final PrometheusRegistry registry,
       final String name,
