Test the life of accepted jobs under random faults that overlap

JobLifeTest plays batch, long-running, hopeless and scheduled jobs on the manual clock, with cancellations, submissions sent twice and a queue that is removed, while daemons stop and are lost, singly and all at once, the store refuses, is silent, late or slow, its history is compacted, links are cut, starts are late and workers crash and leave. Clients ask for states through all daemons. It checks that accepted jobs stay known, end only with cause, and end or run again after the faults, and that no task runs twice.

The stand-in worker can end runs as failed, and a late start is no longer executed by a worker that has crashed in between. The manual executor keeps its tasks in a priority queue, in the same order as before, since each step searched all of them.

--- a/library/src/test/java/org/lentilsail/ManualExecutor.java
+++ b/library/src/test/java/org/lentilsail/ManualExecutor.java
@@ -1,9 +1,9 @@
 package org.lentilsail;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
 import java.util.concurrent.AbstractExecutorService;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -17,7 +17,9 @@
 public final class ManualExecutor extends AbstractExecutorService
     implements ScheduledExecutorService {
   private final ManualTimeSource time;
-  private final List<Task> tasks = new ArrayList<>();
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(
+          Comparator.<Task>comparingLong(task -> task.dueNanos).thenComparing(task -> task.order));
   private boolean paused;
   private boolean running;
   private long sequence;
@@ -32,8 +34,7 @@
     final long end = time.nanos() + step.toNanos();
     runDue();
     while (time.nanos() < end) {
-      final long next =
-          tasks.stream().mapToLong(task -> task.dueNanos).min().orElse(Long.MAX_VALUE);
+      final long next = tasks.isEmpty() ? Long.MAX_VALUE : tasks.peek().dueNanos;
       time.advance(Duration.ofNanos(Math.min(end, Math.max(next, time.nanos())) - time.nanos()));
       runDue();
     }
@@ -147,10 +148,7 @@
   }
 
   private Task nextDue() {
-    return tasks.stream()
-        .filter(task -> task.dueNanos <= time.nanos())
-        .min(Comparator.<Task>comparingLong(task -> task.dueNanos).thenComparing(t -> t.order))
-        .orElse(null);
+    return tasks.isEmpty() || tasks.peek().dueNanos > time.nanos() ? null : tasks.peek();
   }
 
   /** A scheduled task. */
--- a/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
@@ -14,6 +14,7 @@
   private final Set<TaskId> done = new HashSet<>();
   private final Set<TaskId> lostOutcomes = new HashSet<>();
   private final Map<TaskId, Integer> starts = new HashMap<>();
+  private final Map<TaskId, Integer> failures = new HashMap<>();
   private final List<String> violations = new ArrayList<>();
 
   void started(final TaskId task, final int run, final long nanos) {
@@ -44,6 +45,10 @@
     }
   }
 
+  void failed(final TaskId task) {
+    failures.merge(task, 1, Integer::sum);
+  }
+
   /** Records that the outcome of a task was lost with its worker; the task may run once more. */
   void outcomeLost(final TaskId task) {
     lostOutcomes.add(task);
@@ -59,6 +64,20 @@
     return List.copyOf(violations);
   }
 
+  /**
+   * Counts the failed runs of the task of a job that has failed most often.
+   *
+   * @param job id of the job
+   * @return number of failed runs
+   */
+  public int mostFailures(final String job) {
+    return failures.entrySet().stream()
+        .filter(entry -> entry.getKey().job().equals(job))
+        .mapToInt(Map.Entry::getValue)
+        .max()
+        .orElse(0);
+  }
+
   /**
    * Returns the completed tasks.
    *
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
@@ -32,6 +33,7 @@
   private final ScheduledExecutorService executor;
   private final RunHistory history;
   private final ToLongFunction<TaskId> durations;
+  private final Predicate<TaskId> failing;
   private final Map<TaskId, Running> running = new LinkedHashMap<>();
   private final Map<TaskId, Integer> highestFinished = new HashMap<>();
   private final List<FinishedRun> unacknowledged = new ArrayList<>();
@@ -54,12 +56,14 @@
       final TimeSource time,
       final ScheduledExecutorService executor,
       final RunHistory history,
-      final ToLongFunction<TaskId> durations) {
+      final ToLongFunction<TaskId> durations,
+      final Predicate<TaskId> failing) {
     this.entry = entry;
     this.time = time;
     this.executor = executor;
     this.history = history;
     this.durations = durations;
+    this.failing = failing;
   }
 
   WorkerEntry entry() {
@@ -161,7 +165,7 @@
 
   private void complete(final TaskId task, final Running run) {
     if (alive && running.get(task) == run) {
-      finishRun(task, run, RunOutcome.DONE);
+      finishRun(task, run, failing.test(task) ? RunOutcome.FAILED : RunOutcome.DONE);
     }
   }
 
@@ -171,6 +175,9 @@
     lastSequence++;
     unacknowledged.add(new FinishedRun(lastSequence, task, run.run(), outcome, ""));
     history.ended(task, run.run(), outcome == RunOutcome.DONE, now());
+    if (outcome == RunOutcome.FAILED) {
+      history.failed(task);
+    }
     pendingPolls.forEach(change -> change.complete(null));
     pendingPolls.clear();
   }
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
@@ -35,6 +36,7 @@
   private final Map<String, SimulatedWorker> workers = new HashMap<>();
   private final Set<String> cutLinks = new HashSet<>();
   private long lateStartMillis;
+  private Predicate<TaskId> failing = task -> false;
 
   /**
    * Creates an empty set of workers.
@@ -58,7 +60,9 @@
    * @param entry description that the worker reports of itself
    */
   public void start(final WorkerEntry entry) {
-    workers.put(entry.id(), new SimulatedWorker(entry, time, executor, history, durations));
+    workers.put(
+        entry.id(),
+        new SimulatedWorker(entry, time, executor, history, durations, task -> failing.test(task)));
   }
 
   /**
@@ -105,6 +109,15 @@
     lateStartMillis = millis;
   }
 
+  /**
+   * Sets which runs end as failed.
+   *
+   * @param failingTasks asked at the end of each run with its task
+   */
+  public void failWhen(final Predicate<TaskId> failingTasks) {
+    failing = failingTasks;
+  }
+
   /**
    * Returns the history of all runs.
    *
@@ -146,8 +159,9 @@
     public CompletableFuture<CommandReply> start(
         final WorkerEntry worker, final StartCommand command) {
       if (lateStartMillis > 0 && isReachable(worker)) {
+        final SimulatedWorker target = workers.get(worker.id());
         executor.schedule(
-            () -> workers.get(worker.id()).start(command), lateStartMillis, TimeUnit.MILLISECONDS);
+            () -> startIfAlive(target, command), lateStartMillis, TimeUnit.MILLISECONDS);
         return delayed(unconfirmed(), TIMEOUT_MILLIS);
       }
       return call(worker, target -> completed(target.start(command)), unconfirmed());
@@ -177,6 +191,12 @@
           new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"));
     }
 
+    private static void startIfAlive(final SimulatedWorker target, final StartCommand command) {
+      if (target.isAlive()) {
+        target.start(command);
+      }
+    }
+
     private <T> CompletableFuture<T> call(
         final WorkerEntry worker,
         final Function<SimulatedWorker, CompletableFuture<T>> action,
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -171,7 +171,17 @@
     workers.start(earlier.withStartTime(earlier.startTimeMillis() + 1));
   }
 
-  /** Writes the entry of the first incarnation of a worker. */
+  /** Ends a worker and its outcomes, and starts it again under the same id, with a new entry. */
+  void reviveWorker(final String id) {
+    final WorkerEntry earlier = entries.get(id);
+    final WorkerEntry entry = earlier.withStartTime(earlier.startTimeMillis() + 1);
+    workers.fail(id);
+    entries.put(id, entry);
+    workers.start(entry);
+    writeEntry(id);
+  }
+
+  /** Writes the latest entry of a worker. */
   void writeEntry(final String id) {
     store.put("servers/" + id, id.getBytes(StandardCharsets.UTF_8));
   }
@@ -186,10 +196,18 @@
     addMachine("m-" + worker, SERVICE, worker);
   }
 
+  /** Shows in the list of machines that the machine of a worker is down. */
+  void stopMachineOf(final String worker) {
+    machines.put(machine("m-" + worker, SERVICE, MachineState.DOWN, ""));
+  }
+
   private void addMachine(final String id, final String pool, final String worker) {
-    machines.put(
-        new Machine(
-            id, pool, MachineState.UP, "north", List.of(), new Resources(8_000, 8_000, 0), worker));
+    machines.put(machine(id, pool, MachineState.UP, worker));
+  }
+
+  private static Machine machine(
+      final String id, final String pool, final MachineState state, final String worker) {
+    return new Machine(id, pool, state, "north", List.of(), new Resources(8_000, 8_000, 0), worker);
   }
 
   /** Disconnects a daemon from the store and from all workers, like a lost VM. */
@@ -213,9 +231,12 @@
   }
 
   private SubmitOutcome submit(final JobNode node, final String queue, final JobSpec spec) {
-    final SubmittedJob job =
-        new SubmittedJob(queue, SERVICE, time.wallMillis(), spec, queue(queue));
-    return await(node.jobApi().submit(job), Duration.ofSeconds(2));
+    return await(node.jobApi().submit(submitted(queue, spec)), Duration.ofSeconds(2));
+  }
+
+  /** Describes a job that is submitted now. */
+  SubmittedJob submitted(final String queue, final JobSpec spec) {
+    return new SubmittedJob(queue, SERVICE, time.wallMillis(), spec, queue(queue));
   }
 
   /** Submits a job whose steps run twice, the first time after the given delay. */
