--- a/standin/src/main/java/org/lentilsail/standin/process/ChildProcess.java
+++ b/standin/src/main/java/org/lentilsail/standin/process/ChildProcess.java
@@ -122,6 +122,11 @@
     signal("CONT");
   }
 
+  /** Requests the process to reload its settings with SIGHUP, unless it has just terminated. */
+  public void reload() throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+  }
+
   /** Requests the process to stop with SIGTERM, as an operator or the platform would. */
   public void terminate() {
     process.destroy();
