Log errors of the runtime before a future hides them

A callback of a future that ended with an error of the runtime, such as a missing class, left no line in the log: Callbacks throws it on, and the future keeps it. Seen as a leader without a control-open line in a soak whose class files were replaced while it ran. The error is logged now and thrown on as before. CallbacksTest shows that it is still thrown; the log line itself has no test.

--- a/library/src/main/java/org/lentilsail/concurrent/Callbacks.java
+++ b/library/src/main/java/org/lentilsail/concurrent/Callbacks.java
@@ -50,13 +50,16 @@
 
   /**
    * Runs a task. A stack overflow is treated like an exception, since the stack is intact again;
-   * other errors of the runtime are thrown.
+   * other errors of the runtime are logged and thrown, because a future would hide them.
    */
   private static void run(final String name, final Runnable task) {
     try {
       task.run();
     } catch (final RuntimeException | StackOverflowError error) {
       Logger.error(error, "event=task-failed task={}", name);
+    } catch (final Error error) {
+      Logger.error(error, "event=task-failed task={}", name);
+      throw error;
     }
   }
 }
--- a/library/src/test/java/org/lentilsail/concurrent/CallbacksTest.java
+++ b/library/src/test/java/org/lentilsail/concurrent/CallbacksTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -66,6 +67,20 @@
                 .accept("value", null));
   }
 
+  /** Guards against an error that ends the work of a daemon without a trace. */
+  @Test
+  void errorOfRuntimeIsThrown() {
+    assertThrows(
+        NoClassDefFoundError.class,
+        () ->
+            Callbacks.loggedTask(
+                    "test",
+                    () -> {
+                      throw new NoClassDefFoundError("broken");
+                    })
+                .run());
+  }
+
   private static void fail(final boolean stackOverflow) {
     if (stackOverflow) {
       fail(true);
