Do not use up attempts on the only worker with room after the wait limit

Callers would see a job shown as failed that could have been done: it fitted only on a faulty worker, since the healthy ones were partly full, and was started there again each time the wait limit was reached.

Cause: the limit asked whether less than half of the CPU is in use, not whether there is room twice over, as callers expect before a job must have a run. A pool with room for one task only lets the job wait now.

Evidence: WaitingTimeTest.jobWithRoomForOneTaskWaitsForHealthyWorkers, FAILED before, COMPLETED after.

--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -105,6 +105,25 @@
     return spec.reserved().fitsIn(worker.free()) && suits(step, worker);
   }
 
+  /** Returns how many tasks of a step a worker has room for, at most a limit. */
+  static int room(final StepRun step, final WorkerState worker, final int limit) {
+    if (!suits(step, worker)) {
+      return 0;
+    }
+    final StepSpec spec = step.spec();
+    final int most =
+        spec.maxPerWorker() <= 0
+            ? limit
+            : Math.min(limit, spec.maxPerWorker() - step.runCountOn(worker));
+    Resources free = worker.free();
+    int room = 0;
+    while (room < most && spec.reserved().fitsIn(free)) {
+      free = free.minus(spec.reserved());
+      room++;
+    }
+    return room;
+  }
+
   /** Returns whether a worker meets the requirements of a step other than free resources. */
   static boolean suits(final StepRun step, final WorkerState worker) {
     final StepSpec spec = step.spec();
--- a/policy/src/main/java/org/lentilsail/policy/job/WaitLimit.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WaitLimit.java
@@ -20,8 +20,8 @@
   /**
    * Returns whether a task has to start on a worker that may be faulty if no other can take it. A
    * job of batch tasks needs one run, and only while less than half of the CPU of the service is in
-   * use: the attempts of waiting jobs must not be used up on a faulty worker because the healthy
-   * ones are busy.
+   * use and two tasks of the step have room: the attempts of waiting jobs must not be used up on a
+   * faulty worker because the healthy ones are busy.
    *
    * @param task a task without a run
    * @param workers workers of its service
@@ -31,31 +31,44 @@
   static boolean isReached(final Task task, final List<WorkerState> workers, final long now) {
     return task.step().spec().longRunning()
         ? now - task.waitingSince() >= MAX_WAIT_NANOS
-        : isReached(task.step().job().activity(), workers, now);
+        : isBatchLimitReached(task.step(), workers, now);
   }
 
   /** Returns whether a waiting task of a step has reached the limit. */
   static boolean isReached(final StepRun step, final List<WorkerState> workers, final long now) {
     return step.spec().longRunning()
         ? step.tasks().stream().anyMatch(task -> task.isWaiting() && isReached(task, workers, now))
-        : isReached(step.job().activity(), workers, now);
+        : isBatchLimitReached(step, workers, now);
   }
 
-  private static boolean isReached(
-      final JobActivity activity, final List<WorkerState> workers, final long now) {
-    return !activity.hasRuns()
-        && now - activity.idleSince() >= MAX_WAIT_NANOS
-        && isLessThanHalfInUse(workers);
+  private static boolean isBatchLimitReached(
+      final StepRun step, final List<WorkerState> workers, final long now) {
+    final JobActivity activity = step.job().activity();
+    if (activity.hasRuns() || now - activity.idleSince() < MAX_WAIT_NANOS) {
+      return false;
+    }
+    final List<WorkerState> reachable =
+        workers.stream().filter(worker -> worker.isRegistered() && worker.isResponding()).toList();
+    return isLessThanHalfInUse(reachable) && hasRoomForTwo(step, reachable);
+  }
+
+  private static boolean hasRoomForTwo(final StepRun step, final List<WorkerState> workers) {
+    int room = 0;
+    for (final WorkerState worker : workers) {
+      room += Placement.room(step, worker, 2 - room);
+      if (room >= 2) {
+        return true;
+      }
+    }
+    return false;
   }
 
   private static boolean isLessThanHalfInUse(final List<WorkerState> workers) {
     long free = 0;
     long capacity = 0;
     for (final WorkerState worker : workers) {
-      if (worker.isRegistered() && worker.isResponding()) {
-        free += worker.free().cpuMillis();
-        capacity += worker.entry().capacity().cpuMillis();
-      }
+      free += worker.free().cpuMillis();
+      capacity += worker.entry().capacity().cpuMillis();
     }
     return free * 2 > capacity;
   }
--- a/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lentilsail.model.job.JobConfiguration;
+import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.QueueSpec;
 import org.lentilsail.model.job.StepSpec;
 import org.lentilsail.policy.job.PoolSimulation.Ending;
@@ -134,6 +135,32 @@
     assertThat(fixture.place(2 * SECOND), hasSize(1));
   }
 
+  /** Guards against attempts used up on a faulty worker, the only one with room for a task. */
+  @Test
+  void jobWithRoomForOneTaskWaitsForHealthyWorkers() {
+    final PoolSimulation pool =
+        new PoolSimulation(
+            WORKERS,
+            run ->
+                run.worker().id().equals("w0")
+                    ? FAILS_AT_ONCE
+                    : new Ending(run.task().step().spec().estimateMillis() * MILLI, DONE, false));
+    useAttempts(pool, ATTEMPTS);
+    pool.fixture.fleet.worker("w0").health().quarantine(0);
+    pool.fixture.submit(
+        "holds",
+        0,
+        StepSpecBuilder.tasks(WORKERS - 1)
+            .demand(26_000, 1_000)
+            .estimateMillis(9_000)
+            .maxPerWorker(1)
+            .build());
+    pool.tick();
+    final JobRun job = pool.fixture.submit("holds", 0, step(1, 40_000, 1_000));
+    pool.runUntil(12 * SECOND);
+    assertThat(job.state(), is(JobState.COMPLETED));
+  }
+
   /** Guards against a gang that never finds all its workers free of probation at once. */
   @Test
   void gangBesideHopelessJobOnProbation() {
