Place a gang at its wait limit on healthy workers first

A gang that had reached the limit took workers in their order, also faulty ones while healthy ones were free. The healthy ones come first now.

Evidence: WaitingTimeTest.gangAtTheLimitPrefersHealthyWorkers failed before (w0 and w1, both in quarantine) and passes.

--- a/policy/src/main/java/org/lentilsail/policy/job/GangPlacement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/GangPlacement.java
@@ -1,6 +1,7 @@
 package org.lentilsail.policy.job;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,10 +27,18 @@
     final List<WorkerState> healthy =
         assignByRack(step, permitted.stream().filter(worker -> worker.isSchedulable(now)).toList());
     return healthy.isEmpty() && WaitLimit.isReached(step, candidates, now)
-        ? assignByRack(step, permitted.stream().filter(worker -> worker.isAvailable(now)).toList())
+        ? assignByRack(step, available(permitted, now))
         : healthy;
   }
 
+  /** Returns the workers that can run new tasks, the healthy ones first. */
+  private static List<WorkerState> available(final List<WorkerState> workers, final long now) {
+    return workers.stream()
+        .filter(worker -> worker.isAvailable(now))
+        .sorted(Comparator.comparing(worker -> !worker.isSchedulable(now)))
+        .toList();
+  }
+
   private static List<WorkerState> assignByRack(
       final StepRun step, final List<WorkerState> schedulable) {
     if (!step.spec().sameRack()) {
--- a/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -161,6 +162,18 @@
     assertThat(job.state(), is(JobState.COMPLETED));
   }
 
+  /** Guards against a gang on faulty workers beside a healthy one. */
+  @Test
+  void gangAtTheLimitPrefersHealthyWorkers() {
+    final JobFixture fixture = new PoolSimulation(3, run -> SUCCEEDS).fixture;
+    fixture.fleet.worker("w0").health().quarantine(2 * SECOND);
+    fixture.fleet.worker("w1").health().quarantine(2 * SECOND);
+    fixture.submit("holds", 0, StepSpecBuilder.tasks(2).gang().maxPerWorker(1).build());
+    assertThat(
+        fixture.place(2 * SECOND).stream().map(start -> start.run().worker().id()).toList(),
+        hasItem("w2"));
+  }
+
   /** Guards against a gang that never finds all its workers free of probation at once. */
   @Test
   void gangBesideHopelessJobOnProbation() {
