Try the long-running task that has waited longest first

The tasks are tried in the order of their waits now, and a pass leaves the step at the first one that finds no worker; the others have waited for less.

Evidence: the tests of policy.job pass, with longRunningTaskDoesNotWaitForOthersOfItsStep.

--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -1,6 +1,7 @@
 package org.lentilsail.policy.job;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -101,7 +102,7 @@
       final List<WorkerState> candidates,
       final long now,
       final List<RunCommand.Start> starts) {
-    for (final Task task : step.tasks()) {
+    for (final Task task : inOrder(step)) {
       if (!task.isWaiting() || gate.blocks(task.id())) {
         continue;
       }
@@ -112,13 +113,20 @@
       }
       Preemption.choose(task, candidates, now)
           .forEach(run -> tracker.stop(run, "preempted by a long-running task"));
-      if (!task.hasFailed() && !step.spec().longRunning()) {
-        // The other tasks of a batch step would find no worker either.
+      if (!task.hasFailed() || step.spec().longRunning()) {
+        // The other tasks would find no worker either.
         return;
       }
     }
   }
 
+  /** Returns the tasks of a step; the long-running task that has waited longest comes first. */
+  private static List<Task> inOrder(final StepRun step) {
+    return step.spec().longRunning()
+        ? step.tasks().stream().sorted(Comparator.comparingLong(Task::waitingSince)).toList()
+        : step.tasks();
+  }
+
   private void placeGang(
       final StepRun step,
       final List<WorkerState> candidates,
