--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -138,6 +138,7 @@
 
   void close() {
     closed = true;
+    context.metrics().recordLongestIdleJob(0);
     inputWatcher.close();
     registryWatcher.close();
     progressWriter.close();
