--- a/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
@@ -10,11 +10,12 @@
 
 /** Records the runs of simulated workers and detects tasks that run twice. */
 public final class RunHistory {
-  private final Map<TaskId, Set<Integer>> running = new HashMap<>();
+  private final Map<String, Map<TaskId, Set<Integer>>> running = new HashMap<>();
   private final Set<TaskId> done = new HashSet<>();
   private final Set<TaskId> lostOutcomes = new HashSet<>();
   private final Map<TaskId, Integer> starts = new HashMap<>();
   private final Map<TaskId, Integer> failures = new HashMap<>();
+  private final Map<TaskId, Long> lastEnds = new HashMap<>();
   private final List<String> violations = new ArrayList<>();
 
   void started(final TaskId task, final int run, final long nanos) {
@@ -22,7 +23,7 @@
       violations.add(
           task.text() + " run " + run + " started after the task had completed, at " + nanos);
     }
-    final Set<Integer> others = running.computeIfAbsent(task, key -> new HashSet<>());
+    final Set<Integer> others = runs(task);
     if (!others.isEmpty()) {
       violations.add(
           task.text()
@@ -38,13 +39,15 @@
   }
 
   void ended(final TaskId task, final int run, final boolean success, final long nanos) {
-    running.getOrDefault(task, new HashSet<>()).remove(run);
+    runs(task).remove(run);
+    lastEnds.put(task, nanos);
     if (success && !done.add(task) && !lostOutcomes.remove(task)) {
       violations.add(
           task.text() + " run " + run + " completed the task a second time, at " + nanos);
     }
   }
 
+  /** Records that a run of a task has failed, by its own fault or that of its worker. */
   void failed(final TaskId task) {
     failures.merge(task, 1, Integer::sum);
   }
@@ -118,9 +121,56 @@
    * @return number of runs
    */
   public int running(final String job) {
-    return running.entrySet().stream()
+    return running.getOrDefault(job, Map.of()).values().stream().mapToInt(Set::size).sum();
+  }
+
+  /**
+   * Returns whether a task has an active run.
+   *
+   * @param task id of the task
+   * @return true if at least one run is active
+   */
+  public boolean isRunning(final TaskId task) {
+    return !runs(task).isEmpty();
+  }
+
+  /**
+   * Returns whether a task has completed.
+   *
+   * @param task id of the task
+   * @return true if a run of it has ended done
+   */
+  public boolean isDone(final TaskId task) {
+    return done.contains(task);
+  }
+
+  /**
+   * Counts the failed runs of the task of a job that has failed most often.
+   *
+   * @param job id of the job
+   * @return number of runs that ended as failed, without those that were stopped or lost
+   */
+  public int failures(final String job) {
+    return failures.entrySet().stream()
         .filter(entry -> entry.getKey().job().equals(job))
-        .mapToInt(entry -> entry.getValue().size())
-        .sum();
+        .mapToInt(Map.Entry::getValue)
+        .max()
+        .orElse(0);
+  }
+
+  /**
+   * Returns when a run of a task last ended.
+   *
+   * @param task id of the task
+   * @return monotonic time in ns, 0 for never
+   */
+  public long lastEnd(final TaskId task) {
+    return lastEnds.getOrDefault(task, 0L);
+  }
+
+  private Set<Integer> runs(final TaskId task) {
+    return running
+        .computeIfAbsent(task.job(), job -> new HashMap<>())
+        .computeIfAbsent(task, key -> new HashSet<>());
   }
 }
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -78,6 +79,10 @@
     return running.size();
   }
 
+  Set<TaskId> tasks() {
+    return Set.copyOf(running.keySet());
+  }
+
   void crash() {
     alive = false;
     running.forEach((task, run) -> history.ended(task, run.run(), false, now()));
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -137,6 +137,26 @@
     return workers.get(id).runs();
   }
 
+  /**
+   * Returns the tasks with an active run on a worker.
+   *
+   * @param id id of the worker
+   * @return the tasks
+   */
+  public Set<TaskId> tasks(final String id) {
+    return workers.get(id).tasks();
+  }
+
+  /**
+   * Returns whether a worker is running.
+   *
+   * @param id id of the worker
+   * @return false after its end
+   */
+  public boolean isAlive(final String id) {
+    return workers.get(id).isAlive();
+  }
+
   /**
    * Returns the workers as seen by one daemon.
    *
--- a/standin/src/main/java/org/lentilsail/standin/process/ChildProcess.java
+++ b/standin/src/main/java/org/lentilsail/standin/process/ChildProcess.java
@@ -18,6 +18,9 @@
   /** System property with JVM options that replace the default options, for profiling. */
   private static final String OPTIONS_PROPERTY = "lentilsail.childOptions";
 
+  /** System property with a class path that replaces that of this process. */
+  private static final String CLASS_PATH_PROPERTY = "lentilsail.childClassPath";
+
   private final String name;
 
   private final Path output;
@@ -76,7 +79,7 @@
     command.add("-Xmx" + heapMegabytes + "m");
     command.addAll(List.of(System.getProperty(OPTIONS_PROPERTY, "-XX:+UseSerialGC").split(" ")));
     command.add("-cp");
-    command.add(System.getProperty("java.class.path"));
+    command.add(System.getProperty(CLASS_PATH_PROPERTY, System.getProperty("java.class.path")));
     command.add(mainClass);
     command.addAll(args);
     final Path output = directory.resolve(name + ".out");
