Admit a worker only after a confirmed write of the roster contains it

Cause: a worker whose registry entry changed while the write of the roster was unconfirmed was admitted at once, since it counted as a member already. It got tasks although the roster lacked it.

Change: members that no confirmed write contains are tracked; they are admitted by the confirmation only, with their latest entry, and not at all if they were removed meanwhile.

--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -1,9 +1,10 @@
 package org.lentilsail.jobs;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.lentilsail.model.job.WorkerEntry;
@@ -19,7 +20,10 @@
   private final Consumer<WorkerEntry> onAdmitted;
   private final Runnable superseded;
   private final Map<String, WorkerEntry> members = new LinkedHashMap<>();
-  private final List<WorkerEntry> awaitingAdmission = new ArrayList<>();
+
+  /** Members of which no confirmed write has persisted that they are on the roster. */
+  private final Set<String> unpersisted = new LinkedHashSet<>();
+
   private final LeaderItems items;
   private boolean dirty;
   private boolean writeInFlight;
@@ -41,16 +45,19 @@
     persistedMembers.forEach(entry -> members.put(entry.id(), entry));
   }
 
+  /**
+   * Admits a worker, at once if a confirmed write of the roster contains it. The next leader takes
+   * a worker that the roster lacks for a terminated one and starts its tasks again.
+   */
   void admit(final WorkerEntry entry) {
-    if (members.containsKey(entry.id())) {
-      members.put(entry.id(), entry);
+    final boolean isNew = members.put(entry.id(), entry) == null;
+    if (isNew) {
+      unpersisted.add(entry.id());
+      dirty = true;
+      write();
+    } else if (!unpersisted.contains(entry.id())) {
       onAdmitted.accept(entry);
-      return;
     }
-    members.put(entry.id(), entry);
-    awaitingAdmission.add(entry);
-    dirty = true;
-    write();
   }
 
   /**
@@ -58,6 +65,7 @@
    */
   void remove(final String id) {
     if (members.remove(id) != null) {
+      unpersisted.remove(id);
       dirty = true;
       write();
     }
@@ -73,8 +81,7 @@
     }
     writeInFlight = true;
     dirty = false;
-    final List<WorkerEntry> newMembers = List.copyOf(awaitingAdmission);
-    awaitingAdmission.clear();
+    final List<String> newMembers = List.copyOf(unpersisted);
     final RosterDocument document =
         new RosterDocument(members.values().stream().map(RosterDocument.Row::of).toList());
     items.commit(
@@ -90,19 +97,25 @@
   }
 
   private void handleOutcome(
-      final LeaderItems.WriteOutcome outcome, final List<WorkerEntry> newMembers) {
+      final LeaderItems.WriteOutcome outcome, final List<String> newMembers) {
     switch (outcome) {
       case APPLIED -> {
-        newMembers.forEach(onAdmitted);
+        newMembers.forEach(this::admitPersisted);
         write();
       }
       case SUPERSEDED -> superseded.run();
-      default -> retry(newMembers);
+      default -> retryLater();
+    }
+  }
+
+  /** Admits a member whose write is confirmed, unless it was removed while the write was sent. */
+  private void admitPersisted(final String id) {
+    if (unpersisted.remove(id)) {
+      onAdmitted.accept(members.get(id));
     }
   }
 
-  private void retry(final List<WorkerEntry> newMembers) {
-    awaitingAdmission.addAll(newMembers);
+  private void retryLater() {
     dirty = true;
     context.executor().schedule(this::write, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
   }
