--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -133,7 +133,7 @@
     }
     leadershipLost();
     final JobConfiguration current =
-        configuration == null ? new JobConfiguration(0, List.of(), List.of(), 0) : configuration;
+        configuration == null ? JobConfiguration.empty() : configuration;
     control = new JobControl(context, election, term, current);
     waves.values().forEach(control::requestWave);
     control.start();
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -77,7 +77,7 @@
     final StepSpec step = StepSpecBuilder.tasks(1).estimateMillis(300).build();
     final JobSpec spec = new JobSpec(job, "work", List.of(step), 0, 0, 0);
     final JobRun accepted =
-        jobs.accept(new SubmittedJob("holds", "booking", 0, spec, null), 0, time.nanos());
+        jobs.accept(new SubmittedJob("holds", "booking", 0, spec, null, ""), 0, time.nanos());
     worker.clock().recordReading(1_000, time.nanos());
     return runTracker.start(accepted.steps().get(0).tasks().get(0), worker, 0, time.nanos());
   }
--- a/model/src/main/java/org/lentilsail/model/job/JobConfiguration.java
+++ b/model/src/main/java/org/lentilsail/model/job/JobConfiguration.java
@@ -10,14 +10,29 @@
  * @param queues all queues
  * @param services all services
  * @param maxBodyBytes maximum size of a request body in bytes
+ * @param organisations all organisations, empty if callers need no key
  */
 public record JobConfiguration(
-    long version, List<QueueSpec> queues, List<ServiceSpec> services, long maxBodyBytes) {
+    long version,
+    List<QueueSpec> queues,
+    List<ServiceSpec> services,
+    long maxBodyBytes,
+    List<Organisation> organisations) {
 
   /** Copies the lists to make the configuration immutable. */
   public JobConfiguration {
     queues = List.copyOf(queues);
     services = List.copyOf(services);
+    organisations = List.copyOf(organisations);
+  }
+
+  /**
+   * Returns the configuration that holds before the first one has been received.
+   *
+   * @return a configuration without queues, services and organisations
+   */
+  public static JobConfiguration empty() {
+    return new JobConfiguration(0, List.of(), List.of(), 0, List.of());
   }
 
   /**
@@ -58,4 +73,14 @@
   public Optional<ServiceSpec> service(final String name) {
     return services.stream().filter(service -> service.name().equals(name)).findFirst();
   }
+
+  /**
+   * Finds an organisation.
+   *
+   * @param name name of the organisation
+   * @return the organisation
+   */
+  public Optional<Organisation> organisation(final String name) {
+    return organisations.stream().filter(known -> known.name().equals(name)).findFirst();
+  }
 }
--- a/model/src/main/java/org/lentilsail/model/job/QueueSpec.java
+++ b/model/src/main/java/org/lentilsail/model/job/QueueSpec.java
@@ -12,6 +12,7 @@
  * @param stretch factor that the latency objective applies to the critical path of a job
  * @param targetLatencyMillis constant part of the latency objective in ms
  * @param requiresAdvice whether only workers permitted by the advice service may run its steps
+ * @param publicAccess whether callers need no key of an organisation
  */
 public record QueueSpec(
     String name,
@@ -22,4 +23,5 @@
     int maxAttempts,
     double stretch,
     long targetLatencyMillis,
-    boolean requiresAdvice) {}
+    boolean requiresAdvice,
+    boolean publicAccess) {}
--- a/model/src/main/java/org/lentilsail/model/job/SubmittedJob.java
+++ b/model/src/main/java/org/lentilsail/model/job/SubmittedJob.java
@@ -11,12 +11,20 @@
  * @param spec the job
  * @param queueSettings the queue as configured at that time, null for a job that an earlier version
  *     accepted; in effect while the configuration lacks the queue
+ * @param organisation name of the organisation that submitted it, empty for none; a job that an
+ *     earlier version accepted has none
  */
 public record SubmittedJob(
-    String queue, String service, long acceptedMillis, JobSpec spec, QueueSpec queueSettings) {
+    String queue,
+    String service,
+    long acceptedMillis,
+    JobSpec spec,
+    QueueSpec queueSettings,
+    String organisation) {
 
-  /** Checks that nothing but the settings of the queue is missing. */
+  /** Checks that only what earlier versions did not persist is missing. */
   public SubmittedJob {
+    organisation = Objects.requireNonNullElse(organisation, "");
     Objects.requireNonNull(queue, "queue");
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(spec, "spec");
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
@@ -32,7 +32,7 @@
   private final Map<String, JobRun> jobs = new LinkedHashMap<>();
   private final Set<JobRun> active = new LinkedHashSet<>();
   private final Set<JobRun> unsaved = new LinkedHashSet<>();
-  private JobConfiguration configuration = new JobConfiguration(0, List.of(), List.of(), 0);
+  private JobConfiguration configuration = JobConfiguration.empty();
 
   /**
    * Applies a new configuration, also to the queues of unfinished jobs.
@@ -248,6 +248,6 @@
 
   private static QueueSpec defaultQueue(final SubmittedJob submitted) {
     return new QueueSpec(
-        submitted.queue(), "", "", submitted.service(), 0, DEFAULT_ATTEMPTS, 1, 0, false);
+        submitted.queue(), "", "", submitted.service(), 0, DEFAULT_ATTEMPTS, 1, 0, false, false);
   }
 }
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -44,7 +44,8 @@
                 new ServiceSpec(BOOKING, true, false),
                 new ServiceSpec(STARTER, true, false),
                 new ServiceSpec(SPARE, true, true)),
-            0));
+            0,
+            List.of()));
   }
 
   /** Adds a machine with a worker that responds. */
@@ -118,7 +119,8 @@
             service,
             0,
             new JobSpec(id, "work", List.of(steps), 0, 0, 0),
-            jobs.configuration().queue(queue).orElse(null)),
+            jobs.configuration().queue(queue).orElse(null),
+            ""),
         0,
         now);
   }
@@ -203,6 +205,7 @@
   }
 
   private static QueueSpec queue(final String name, final String service, final int priority) {
-    return new QueueSpec(name, "host", "/" + name + "/", service, priority, 2, 1.6, 600, false);
+    return new QueueSpec(
+        name, "host", "/" + name + "/", service, priority, 2, 1.6, 600, false, false);
   }
 }
--- a/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
@@ -85,7 +85,7 @@
   @Test
   void attemptsOfRemovedQueueAreKnownToNewLeader() {
     final JobRun job = first.submit("holds", 0, step(1, 1_000, 900));
-    second.jobs.configuration(new JobConfiguration(2, List.of(), List.of(), 0));
+    second.jobs.configuration(new JobConfiguration(2, List.of(), List.of(), 0, List.of()));
     second.worker("b0", BOOKING);
 
     final JobRun restored = second.jobs.accept(job.submitted(), 0, 0);
--- a/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/WaitingTimeTest.java
@@ -300,8 +300,10 @@
   private static JobConfiguration configuration(
       final JobFixture fixture, final int attempts, final boolean requiresAdvice) {
     final QueueSpec queue =
-        new QueueSpec("holds", "host", "/holds/", BOOKING, 0, attempts, 1.6, 600, requiresAdvice);
-    return new JobConfiguration(2, List.of(queue), fixture.jobs.configuration().services(), 0);
+        new QueueSpec(
+            "holds", "host", "/holds/", BOOKING, 0, attempts, 1.6, 600, requiresAdvice, false);
+    return new JobConfiguration(
+        2, List.of(queue), fixture.jobs.configuration().services(), 0, List.of());
   }
 
   private static StepSpec spread(final int count) {
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -236,7 +236,7 @@
 
   /** Describes a job that is submitted now. */
   SubmittedJob submitted(final String queue, final JobSpec spec) {
-    return new SubmittedJob(queue, SERVICE, time.wallMillis(), spec, queue(queue));
+    return new SubmittedJob(queue, SERVICE, time.wallMillis(), spec, queue(queue), "");
   }
 
   /** Submits a job whose steps run twice, the first time after the given delay. */
@@ -295,7 +295,7 @@
 
   private static QueueSpec queue(final String name) {
     final boolean advised = name.equals(ADVISED_QUEUE);
-    return new QueueSpec(name, "host", '/' + name + '/', SERVICE, 0, 3, 1.6, 600, advised);
+    return new QueueSpec(name, "host", '/' + name + '/', SERVICE, 0, 3, 1.6, 600, advised, false);
   }
 
   /** Interprets the items of this deployment, whose values are ids of workers and machines. */
@@ -326,7 +326,8 @@
               item.revision(),
               Stream.of(names).map(SimulatedDeployment::queue).toList(),
               List.of(new ServiceSpec(SERVICE, true, false)),
-              0));
+              0,
+              List.of()));
     }
 
     @Override
