Decide by the key of a caller and the age of the configuration

Cause: callers identify themselves with keys of organisations; a removed key must stop working on every daemon within RevokeMs, also on one that is cut off, suspended or just started.

If strict, a watch confirms at once while the evidence is old, and waits for less than 1.5 s if RevokeMs is below 3.8 s. Nothing else acts on the decision yet.

--- a/library/src/main/java/org/lentilsail/jobs/FleetDocuments.java
+++ b/library/src/main/java/org/lentilsail/jobs/FleetDocuments.java
@@ -30,6 +30,14 @@
    */
   Optional<WorkerEntry> worker(StoredItem item);
 
+  /**
+   * Returns whether an item is meant to be a configuration, also if it cannot be parsed.
+   *
+   * @param item an item under the operator prefix
+   * @return whether it has the key of the configuration
+   */
+  boolean isConfiguration(StoredItem item);
+
   /**
    * Decodes a configuration.
    *
--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -2,23 +2,20 @@
 
 import java.time.Duration;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.JobConfiguration;
 import org.lentilsail.model.job.WaveRequest;
-import org.lentilsail.store.ItemChange;
-import org.lentilsail.store.PrefixListener;
+import org.lentilsail.policy.access.AccessControl;
+import org.lentilsail.policy.access.AccessSnapshot;
 import org.lentilsail.store.PrefixWatcher;
-import org.lentilsail.store.StoredItem;
 
 /**
  * The job scheduling component of a daemon: watches the operators' configuration, takes part in the
  * leader election, and runs job control while this daemon is the leader. Confined to the control
  * thread, except where noted.
  */
-public final class JobNode implements PrefixListener, TermListener {
+public final class JobNode implements TermListener {
   /**
    * Time to live in ms of the leader lease; a killed leader is replaced after it. A short task that
    * arrives right after the loss of the leader can still meet its latency objective.
@@ -30,11 +27,11 @@
 
   private final ControlContext context;
   private final Election election;
+  private final OperatorItems operatorItems;
   private final PrefixWatcher operatorWatcher;
   private final JobApi jobApi;
   private final StoreAvailability availability;
   private final Map<Long, WaveRequest> waves = new LinkedHashMap<>();
-  private volatile JobConfiguration configuration;
   private JobControl control;
 
   /**
@@ -61,14 +58,22 @@
                 Math.max(LEADER_LEASE_MILLIS, context.bounds().minStoreLeaseMillis())),
             new CapacityPreference(cpuMillis),
             this);
+    this.operatorItems =
+        new OperatorItems(
+            context.documents(),
+            new AccessControl(context.time(), context.bounds().revocation()),
+            this::applyConfiguration,
+            this::applyWaveRequest,
+            availability::recordSuccess);
     this.operatorWatcher =
         new PrefixWatcher(
             context.store(),
             context.documents().operatorPrefix(),
-            this,
+            operatorItems,
             context.executor(),
             context.time(),
-            WATCH_INTERVAL);
+            WATCH_INTERVAL,
+            new EvidenceInterval(context.bounds().revocation(), operatorItems.access()));
   }
 
   /** Starts to watch the store; may be called from any thread. */
@@ -97,7 +102,16 @@
    * @return the configuration, empty before the first one has been received
    */
   public Optional<JobConfiguration> configuration() {
-    return Optional.ofNullable(configuration);
+    return operatorItems.access().snapshot().map(AccessSnapshot::configuration);
+  }
+
+  /**
+   * Returns what decides whether a call is served; may be called from any thread.
+   *
+   * @return configuration in effect with its age, empty before the first one has been received
+   */
+  public Optional<AccessSnapshot> access() {
+    return operatorItems.access().snapshot();
   }
 
   /**
@@ -110,21 +124,6 @@
     return availability.unavailableNanos();
   }
 
-  @Override
-  public void onSnapshot(final List<StoredItem> items) {
-    Callbacks.forEach("operator item", items, this::applyItem);
-  }
-
-  @Override
-  public void onChange(final ItemChange change) {
-    change.item().ifPresent(this::applyItem);
-  }
-
-  @Override
-  public void onBatchEnd() {
-    availability.recordSuccess();
-  }
-
   @Override
   public void elected(final Term term, final boolean uninterrupted) {
     if (uninterrupted && control != null) {
@@ -132,9 +131,8 @@
       return;
     }
     leadershipLost();
-    final JobConfiguration current =
-        configuration == null ? JobConfiguration.empty() : configuration;
-    control = new JobControl(context, election, term, current);
+    control =
+        new JobControl(context, election, term, configuration().orElseGet(JobConfiguration::empty));
     waves.values().forEach(control::requestWave);
     control.start();
   }
@@ -147,22 +145,15 @@
     }
   }
 
-  private void applyItem(final StoredItem item) {
-    context.documents().configuration(item).ifPresent(this::applyConfiguration);
-    context.documents().wave(item).ifPresent(this::applyWaveRequest);
-  }
-
   private void applyConfiguration(final JobConfiguration received) {
-    if (configuration != null && received.version() <= configuration.version()) {
-      return;
-    }
-    configuration = received;
     context.log().log(
         "configuration-in-force",
         "version",
         received.version(),
         "queues",
-        received.queues().size());
+        received.queues().size(),
+        "organisations",
+        received.organisations().size());
     if (control != null) {
       control.configuration(received);
     }
--- a/library/src/main/java/org/lentilsail/store/PrefixListener.java
+++ b/library/src/main/java/org/lentilsail/store/PrefixListener.java
@@ -1,6 +1,7 @@
 package org.lentilsail.store;
 
 import java.util.List;
+import org.lentilsail.model.time.ClockReading;
 
 /** Listener for the items under a prefix, called on the thread of the watcher. */
 public interface PrefixListener {
@@ -20,4 +21,12 @@
 
   /** Called after the last change of a batch, and after a snapshot. */
   default void onBatchEnd() {}
+
+  /**
+   * Called after each response has been applied, also one without changes. The items are those that
+   * the store held at some moment after the call was sent.
+   *
+   * @param sentAt when the call was sent; its response may have been delayed
+   */
+  default void onResponseApplied(final ClockReading sentAt) {}
 }
--- a/library/src/main/java/org/lentilsail/store/PrefixWatcher.java
+++ b/library/src/main/java/org/lentilsail/store/PrefixWatcher.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.lentilsail.model.time.ClockReading;
 import org.lentilsail.model.time.TimeSource;
 import org.tinylog.Logger;
 
@@ -19,7 +21,7 @@
    * Maximum wait of one watch call; it limits the time until an unresponsive connection is
    * detected.
    */
-  private static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_500);
+  public static final Duration WATCH_TIMEOUT = Duration.ofMillis(1_500);
 
   /** Delay in ms before a failed call is retried. */
   private static final long RETRY_DELAY_MILLIS = 150;
@@ -30,6 +32,7 @@
   private final ScheduledExecutorService executor;
   private final TimeSource time;
   private final long minIntervalNanos;
+  private final Supplier<Duration> watchTimeout;
   private boolean closed;
   private boolean loaded;
   private boolean failing;
@@ -60,12 +63,36 @@
       final ScheduledExecutorService executor,
       final TimeSource time,
       final Duration minInterval) {
+    this(store, prefix, listener, executor, time, minInterval, () -> WATCH_TIMEOUT);
+  }
+
+  /**
+   * Creates a watcher that has not started.
+   *
+   * @param store the store
+   * @param prefix prefix of the keys
+   * @param listener is notified of the items and their changes
+   * @param executor executor with a single thread
+   * @param time source of monotonic time
+   * @param minInterval minimum time between two calls, so that one response can contain many
+   *     changes
+   * @param watchTimeout returns the wait of the watch call that is sent next
+   */
+  public PrefixWatcher(
+      final KeyValueStore store,
+      final String prefix,
+      final PrefixListener listener,
+      final ScheduledExecutorService executor,
+      final TimeSource time,
+      final Duration minInterval,
+      final Supplier<Duration> watchTimeout) {
     this.store = store;
     this.prefix = prefix;
     this.listener = listener;
     this.executor = executor;
     this.time = time;
     this.minIntervalNanos = minInterval.toNanos();
+    this.watchTimeout = watchTimeout;
   }
 
   /** Starts watching. */
@@ -92,6 +119,7 @@
     if (closed) {
       return;
     }
+    final ClockReading sentAt = ClockReading.of(time);
     RangeReader.readAll(store, prefix)
         .whenCompleteAsync(
             logged(
@@ -108,6 +136,7 @@
                   revision = page.revision();
                   notify(() -> listener.onSnapshot(page.items()));
                   notify(listener::onBatchEnd);
+                  notify(() -> listener.onResponseApplied(sentAt));
                   watch();
                 }),
             executor);
@@ -123,8 +152,9 @@
       return;
     }
     lastCallAt = time.nanos();
+    final ClockReading sentAt = ClockReading.of(time);
     store
-        .watch(prefix, revision, WATCH_TIMEOUT)
+        .watch(prefix, revision, watchTimeout.get())
         .whenCompleteAsync(
             logged(
                 (batch, failure) -> {
@@ -136,12 +166,12 @@
                     return;
                   }
                   recordResponse();
-                  applyChanges(batch);
+                  applyChanges(batch, sentAt);
                 }),
             executor);
   }
 
-  private void applyChanges(final WatchBatch batch) {
+  private void applyChanges(final WatchBatch batch, final ClockReading sentAt) {
     if (batch.historyCompacted()) {
       Logger.info("event=history-lost prefix={} revision={}", prefix, revision);
       readAll();
@@ -154,6 +184,7 @@
     if (!batch.changes().isEmpty()) {
       notify(listener::onBatchEnd);
     }
+    notify(() -> listener.onResponseApplied(sentAt));
     watch();
   }
 
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -315,9 +315,14 @@
       return Optional.ofNullable(entries.get(new String(item.value(), StandardCharsets.UTF_8)));
     }
 
+    @Override
+    public boolean isConfiguration(final StoredItem item) {
+      return item.key().equals(CONFIGURATION_KEY);
+    }
+
     @Override
     public Optional<JobConfiguration> configuration(final StoredItem item) {
-      if (!item.key().equals(CONFIGURATION_KEY)) {
+      if (!isConfiguration(item)) {
         return Optional.empty();
       }
       final String[] names = new String(item.value(), StandardCharsets.UTF_8).split(",");
