Require keys of callers and keep the organisation of jobs

Cause: any caller could read and cancel the jobs of every organisation.

A submission with the id of a job of another organisation gets 409. Metrics by organisation and by reason.

--- a/library/src/main/java/org/lentilsail/jobs/Documents.java
+++ b/library/src/main/java/org/lentilsail/jobs/Documents.java
@@ -62,6 +62,13 @@
     }
   }
 
+  /** Returns the organisation of a submission, empty for none or if it cannot be parsed. */
+  static String organisation(final StoredItem submission) {
+    return Documents.<SubmittedJob>read(SUBMISSION, submission)
+        .map(SubmittedJob::organisation)
+        .orElse("");
+  }
+
   /** Reads a document. One that cannot be parsed is logged and yields an empty result. */
   static <T> Optional<T> read(final ObjectReader reader, final StoredItem item) {
     try {
--- a/library/src/main/java/org/lentilsail/jobs/JobApi.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobApi.java
@@ -1,5 +1,6 @@
 package org.lentilsail.jobs;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.SubmittedJob;
 import org.lentilsail.model.time.TimeSource;
+import org.lentilsail.policy.access.Caller;
 import org.lentilsail.store.KeyValueStore;
 import org.lentilsail.store.StoredItem;
 import org.lentilsail.store.Transaction;
@@ -38,11 +40,22 @@
   private final TimeSource time;
   private final StoreAvailability availability;
   private final SubmissionWriter submissionWriter;
-  private final Map<String, JobState> finalStates = boundedCache();
-  private final Map<String, Boolean> knownJobs = boundedCache();
+  private final Map<String, KnownState> finalStates = boundedCache();
+
+  /** Organisations of jobs whose final state is not known, by their ids. */
+  private final Map<String, String> knownJobs = boundedCache();
+
   private Map<String, Integer> waiting = Map.of();
   private long waitingCountsReadAt = NEVER;
 
+  /**
+   * The state of a job.
+   *
+   * @param state the state
+   * @param organisation organisation of the job, empty for none
+   */
+  private record KnownState(JobState state, String organisation) {}
+
   /**
    * Creates the API.
    *
@@ -78,7 +91,7 @@
         .whenComplete(
             (outcome, failure) -> {
               if (outcome == SubmitOutcome.ACCEPTED) {
-                knownJobs.put(job.spec().id(), true);
+                knownJobs.put(job.spec().id(), job.organisation());
               }
             });
   }
@@ -87,10 +100,17 @@
    * Reads the state of a job.
    *
    * @param id id of the job
-   * @return the state, empty if there is no such job; completes exceptionally if the store does not
-   *     respond
+   * @param caller who asks
+   * @return the state, empty if there is no such job or the caller may not see it; completes
+   *     exceptionally if the store does not respond
    */
-  public CompletableFuture<Optional<JobState>> state(final String id) {
+  public CompletableFuture<Optional<JobState>> state(final String id, final Caller caller) {
+    return knownState(id)
+        .thenApply(
+            known -> known.filter(job -> caller.sees(job.organisation())).map(KnownState::state));
+  }
+
+  private CompletableFuture<Optional<KnownState>> knownState(final String id) {
     return CompletableFuture.supplyAsync(() -> finalStates.get(id), executor)
         .thenCompose(
             cached ->
@@ -103,12 +123,18 @@
    * Cancels a job.
    *
    * @param id id of the job
+   * @param caller who cancels
    * @return ACCEPTED, NOT_FOUND, NOT_ACCEPTED or UNKNOWN; never completes exceptionally
    */
-  public CompletableFuture<SubmitOutcome> cancel(final String id) {
+  public CompletableFuture<SubmitOutcome> cancel(final String id, final Caller caller) {
     return store
         .range(StoreKeys.INPUT + id + '/', "")
-        .thenComposeAsync(page -> cancelKnown(id, keys(page.items())), executor)
+        .thenComposeAsync(
+            page ->
+                isVisible(id, page.items(), caller)
+                    ? cancelKnown(id, keys(page.items()))
+                    : CompletableFuture.completedFuture(SubmitOutcome.NOT_FOUND),
+            executor)
         .exceptionally(failure -> SubmitOutcome.NOT_ACCEPTED)
         .thenApply(
             outcome -> {
@@ -154,7 +180,7 @@
             executor);
   }
 
-  private CompletableFuture<Optional<JobState>> readState(final String id) {
+  private CompletableFuture<Optional<KnownState>> readState(final String id) {
     return store
         .get(StoreKeys.progress(id))
         .thenComposeAsync(
@@ -165,24 +191,30 @@
                       storedItem -> Documents.<JobProgress>read(Documents.PROGRESS, storedItem));
               if (progress.isPresent()) {
                 return CompletableFuture.completedFuture(
-                    Optional.of(cacheIfFinal(id, progress.get().state())));
+                    Optional.of(
+                        cacheIfFinal(
+                            id,
+                            new KnownState(
+                                progress.get().state(), progress.get().organisation()))));
               }
-              return knownJobs.containsKey(id)
-                  ? CompletableFuture.completedFuture(Optional.of(JobState.PENDING))
-                  : readExistence(id);
+              final String organisation = knownJobs.get(id);
+              return organisation == null
+                  ? readExistence(id)
+                  : CompletableFuture.completedFuture(
+                      Optional.of(new KnownState(JobState.PENDING, organisation)));
             },
             executor);
   }
 
-  private JobState cacheIfFinal(final String id, final JobState state) {
-    if (state.isFinal()) {
+  private KnownState cacheIfFinal(final String id, final KnownState state) {
+    if (state.state().isFinal()) {
       finalStates.put(id, state);
       knownJobs.remove(id);
     }
     return state;
   }
 
-  private CompletableFuture<Optional<JobState>> readExistence(final String id) {
+  private CompletableFuture<Optional<KnownState>> readExistence(final String id) {
     return store
         .get(StoreKeys.submission(id))
         .thenApplyAsync(
@@ -190,12 +222,20 @@
               if (item.isEmpty()) {
                 return Optional.empty();
               }
-              knownJobs.put(id, true);
-              return Optional.of(JobState.PENDING);
+              final String organisation = Documents.organisation(item.get());
+              knownJobs.put(id, organisation);
+              return Optional.of(new KnownState(JobState.PENDING, organisation));
             },
             executor);
   }
 
+  private static boolean isVisible(
+      final String id, final Collection<StoredItem> items, final Caller caller) {
+    return items.stream()
+        .filter(item -> item.key().equals(StoreKeys.submission(id)))
+        .allMatch(item -> caller.sees(Documents.organisation(item)));
+  }
+
   private CompletableFuture<SubmitOutcome> cancelKnown(final String id, final Set<String> keys) {
     availability.recordSuccess();
     if (!keys.contains(StoreKeys.submission(id))) {
--- a/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.lentilsail.policy.access.AccessRejection;
 
 /** Counters and latency histograms of job control and of the API for callers. Thread-safe. */
 public final class JobMetrics {
@@ -16,6 +17,8 @@
 
   private final Counter requests;
   private final Histogram requestLatency;
+  private final Counter organisationRequests;
+  private final Counter accessRejections;
   private final Counter taskStarts;
   private final Histogram taskWait;
   private final Counter endedJobs;
@@ -32,6 +35,15 @@
     requests = counter(registry, "requests", "Requests of callers", "method", "status");
     requestLatency =
         histogram(registry, "request_seconds", "Time from a complete request to its answer");
+    organisationRequests =
+        counter(
+            registry,
+            "organisation_requests",
+            "Requests of callers that were served with a key or without one, by organisation",
+            "organisation",
+            "status");
+    accessRejections =
+        counter(registry, "access_rejections", "Requests rejected before their body", "reason");
     taskStarts =
         counter(registry, "task_starts", "Starts of tasks by answer of the worker", "answer");
     taskWait = histogram(registry, "task_wait_seconds", "Time that a task waited for a worker");
@@ -58,6 +70,25 @@
     requestLatency.observe(nanos / NANOS_PER_SECOND);
   }
 
+  /**
+   * Records a request of a caller that has passed the check of its key.
+   *
+   * @param organisation name of the organisation in the configuration, empty for none
+   * @param status status code of the response
+   */
+  public void recordOrganisationRequest(final String organisation, final int status) {
+    organisationRequests.labelValues(organisation, Integer.toString(status)).inc();
+  }
+
+  /**
+   * Records a request that was rejected because of its key.
+   *
+   * @param reason the reason
+   */
+  public void recordAccessRejection(final AccessRejection reason) {
+    accessRejections.labelValues(reason.name()).inc();
+  }
+
   void recordTaskStart(final String answer, final long waitedNanos) {
     taskStarts.labelValues(answer).inc();
     taskWait.observe(waitedNanos / NANOS_PER_SECOND);
--- a/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
@@ -5,8 +5,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -141,15 +143,15 @@
   }
 
   private void handleResult(final List<PendingSubmission> batch, final TransactionResult result) {
-    final Set<String> present = new HashSet<>();
+    final Map<String, StoredItem> present = new HashMap<>();
     if (!result.applied()) {
-      result.currentItems().stream().map(StoredItem::key).forEach(present::add);
+      result.currentItems().forEach(item -> present.put(item.key(), item));
     }
     for (final PendingSubmission pending : batch) {
       if (result.applied()) {
         complete(pending, SubmitOutcome.ACCEPTED, "stored at revision " + result.revision());
-      } else if (present.contains(pending.key())) {
-        complete(pending, SubmitOutcome.ACCEPTED, "accepted before");
+      } else if (present.containsKey(pending.key())) {
+        completePresent(pending, present.get(pending.key()), "accepted before");
       } else if (present.isEmpty()) {
         complete(
             pending,
@@ -180,10 +182,8 @@
             logged(
                 (item, failure) -> {
                   if (failure == null && item.isPresent()) {
-                    complete(
-                        pending,
-                        SubmitOutcome.ACCEPTED,
-                        "found in the store after an unconfirmed write");
+                    completePresent(
+                        pending, item.get(), "found in the store after an unconfirmed write");
                   } else {
                     complete(pending, SubmitOutcome.UNKNOWN, reason);
                   }
@@ -191,6 +191,17 @@
             executor);
   }
 
+  /** Completes the submission of a job whose id the store has. */
+  private void completePresent(
+      final PendingSubmission pending, final StoredItem item, final String reason) {
+    final String organisation = Documents.organisation(item);
+    if (organisation.isEmpty() || organisation.equals(pending.job().organisation())) {
+      complete(pending, SubmitOutcome.ACCEPTED, reason);
+    } else {
+      complete(pending, SubmitOutcome.CONFLICT, "the id belongs to another organisation");
+    }
+  }
+
   private void complete(
       final PendingSubmission pending, final SubmitOutcome outcome, final String reason) {
     log.log(
--- a/library/src/main/java/org/lentilsail/jobs/SubmitOutcome.java
+++ b/library/src/main/java/org/lentilsail/jobs/SubmitOutcome.java
@@ -8,6 +8,8 @@
   NOT_ACCEPTED,
   /** The request may have been persisted; the caller should retry. */
   UNKNOWN,
-  /** There is no such job. */
-  NOT_FOUND
+  /** There is no such job, or the caller may not see it. */
+  NOT_FOUND,
+  /** Another organisation has a job with this id; the submitted job is not persisted. */
+  CONFLICT
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -201,7 +201,7 @@
         steps.forEach(step -> addProgress(step, persisted));
       }
     }
-    return new JobProgress(state, finishedMillis, persisted);
+    return new JobProgress(state, finishedMillis, persisted, submitted.organisation());
   }
 
   /** Returns the number and times of the runs of the job. */
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
@@ -19,6 +19,7 @@
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.StepSpec;
 import org.lentilsail.model.job.TaskId;
+import org.lentilsail.policy.access.Caller;
 
 /** Random jobs, clients and faults on one simulated deployment, and the checks of the rule. */
 final class JobLife {
@@ -413,7 +414,7 @@
       final String daemon = anyDaemon();
       if (daemon != null) {
         cancelled = true;
-        alive.get(daemon).jobApi().cancel(id);
+        alive.get(daemon).jobApi().cancel(id, Caller.UNRESTRICTED);
       }
     }
 
@@ -422,7 +423,7 @@
         alive
             .get(daemon)
             .jobApi()
-            .state(id)
+            .state(id, Caller.UNRESTRICTED)
             .whenComplete(
                 (state, failure) -> {
                   if (failure == null && alive.containsKey(daemon)) {
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -41,6 +41,7 @@
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.model.time.ManualTimeSource;
+import org.lentilsail.policy.access.Caller;
 import org.lentilsail.policy.job.StepSpecBuilder;
 import org.lentilsail.store.StoredItem;
 import org.lentilsail.worker.Advice;
@@ -250,11 +251,11 @@
   }
 
   Optional<JobState> state(final JobNode node, final String id) {
-    return await(node.jobApi().state(id), Duration.ofSeconds(2));
+    return await(node.jobApi().state(id, Caller.UNRESTRICTED), Duration.ofSeconds(2));
   }
 
   SubmitOutcome cancel(final JobNode node, final String id) {
-    return await(node.jobApi().cancel(id), Duration.ofSeconds(3));
+    return await(node.jobApi().cancel(id, Caller.UNRESTRICTED), Duration.ofSeconds(3));
   }
 
   <T> T await(final CompletableFuture<T> response, final Duration limit) {
