Keep the organisation of a stored job when its id is submitted again

Cause: a job of a public queue that an organisation submitted again was remembered as a job of that organisation, so its callers got 410 for it until the leader had persisted its progress.

Change: SubmissionWriter reports the organisation that the store has. PrefixWatcherTest: the sending time is reported after the changes.

Result: OrganisationJobsTest.repeatedSubmissionDoesNotChangeTheOrganisation failed before, passes; JobNodeTest, PrefixWatcherTest and JobHandlerTest pass.

--- a/library/src/main/java/org/lentilsail/jobs/JobApi.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobApi.java
@@ -76,7 +76,8 @@
     this.log = log;
     this.time = time;
     this.availability = availability;
-    this.submissionWriter = new SubmissionWriter(store, executor, log, availability);
+    this.submissionWriter =
+        new SubmissionWriter(store, executor, log, availability, knownJobs::put);
   }
 
   /**
@@ -86,14 +87,7 @@
    * @return the outcome to report to the caller; never completes exceptionally
    */
   public CompletableFuture<SubmitOutcome> submit(final SubmittedJob job) {
-    return submissionWriter
-        .submit(job)
-        .whenComplete(
-            (outcome, failure) -> {
-              if (outcome == SubmitOutcome.ACCEPTED) {
-                knownJobs.put(job.spec().id(), job.organisation());
-              }
-            });
+    return submissionWriter.submit(job);
   }
 
   /**
--- a/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
 import org.lentilsail.log.DecisionLog;
 import org.lentilsail.model.error.ErrorCode;
 import org.lentilsail.model.error.LentilsailException;
@@ -38,6 +39,7 @@
   private final Executor executor;
   private final DecisionLog log;
   private final StoreAvailability availability;
+  private final BiConsumer<String, String> accepted;
   private final Deque<PendingSubmission> queue = new ArrayDeque<>();
   private int transactionsInFlight;
 
@@ -60,16 +62,19 @@
    * @param executor the control thread
    * @param log decision log
    * @param availability whether the store serves this daemon
+   * @param accepted is called with the id and the organisation of each job that the store has
    */
   public SubmissionWriter(
       final KeyValueStore store,
       final Executor executor,
       final DecisionLog log,
-      final StoreAvailability availability) {
+      final StoreAvailability availability,
+      final BiConsumer<String, String> accepted) {
     this.store = store;
     this.executor = executor;
     this.log = log;
     this.availability = availability;
+    this.accepted = accepted;
   }
 
   /**
@@ -149,6 +154,7 @@
     }
     for (final PendingSubmission pending : batch) {
       if (result.applied()) {
+        accepted.accept(pending.job().spec().id(), pending.job().organisation());
         complete(pending, SubmitOutcome.ACCEPTED, "stored at revision " + result.revision());
       } else if (present.containsKey(pending.key())) {
         completePresent(pending, present.get(pending.key()), "accepted before");
@@ -196,6 +202,7 @@
       final PendingSubmission pending, final StoredItem item, final String reason) {
     final String organisation = Documents.organisation(item);
     if (organisation.isEmpty() || organisation.equals(pending.job().organisation())) {
+      accepted.accept(pending.job().spec().id(), organisation);
       complete(pending, SubmitOutcome.ACCEPTED, reason);
     } else {
       complete(pending, SubmitOutcome.CONFLICT, "the id belongs to another organisation");
--- a/standin/src/test/java/org/lentilsail/standin/jobs/OrganisationJobsTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/OrganisationJobsTest.java
@@ -109,6 +109,14 @@
     assertThat(state(second, OTHER), is(Optional.empty()));
   }
 
+  /** Guards against a job of a public queue that its caller no longer finds. */
+  @Test
+  void repeatedSubmissionDoesNotChangeTheOrganisation() {
+    assertThat(submit("", step(1)), is(SubmitOutcome.ACCEPTED));
+    assertThat(submit("one", step(1)), is(SubmitOutcome.ACCEPTED));
+    assertThat(state(second, Caller.ANONYMOUS), is(Optional.of(JobState.PENDING)));
+  }
+
   private void assertVisibleToOwnerOnly(final JobState expected) {
     for (final JobNode node : List.of(first, second)) {
       assertThat(state(node, OWNER), is(Optional.of(expected)));
--- a/standin/src/test/java/org/lentilsail/standin/jobs/PrefixWatcherTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/PrefixWatcherTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.lentilsail.ManualExecutor;
+import org.lentilsail.model.time.ClockReading;
 import org.lentilsail.model.time.ManualTimeSource;
 import org.lentilsail.store.ItemChange;
 import org.lentilsail.store.PrefixListener;
@@ -73,6 +74,34 @@
     assertThat(seen, is(List.of("w/a", "w/z")));
   }
 
+  /** Guards against evidence that is in use before the changes that came with it. */
+  @Test
+  void sendingTimeIsReportedAfterTheChangesOfItsResponse() {
+    final PrefixListener listener =
+        new PrefixListener() {
+          @Override
+          public void onSnapshot(final List<StoredItem> items) {
+            items.forEach(item -> seen.add(item.key()));
+          }
+
+          @Override
+          public void onChange(final ItemChange change) {
+            seen.add(change.key());
+          }
+
+          @Override
+          public void onResponseApplied(final ClockReading sentAt) {
+            seen.add("sent at " + sentAt.nanos() / 1_000_000);
+          }
+        };
+    new PrefixWatcher(store.client("d1"), "w/", listener, executor, time, Duration.ofMillis(5))
+        .start();
+    executor.advance(Duration.ofMillis(100));
+    put("w/b");
+    executor.advance(Duration.ofMillis(100));
+    assertThat(seen, is(List.of("w/a", "sent at 0", "w/b", "sent at 5")));
+  }
+
   private void start() {
     new PrefixWatcher(
             store.client("d1"), "w/", new ThrowingListener(), executor, time, Duration.ofMillis(5))
