--- a/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
@@ -5,11 +5,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
 import org.lentilsail.log.DecisionLog;
 import org.lentilsail.model.error.ErrorCode;
 import org.lentilsail.model.error.LentilsailException;
@@ -36,6 +39,7 @@
   private final Executor executor;
   private final DecisionLog log;
   private final StoreAvailability availability;
+  private final BiConsumer<String, String> accepted;
   private final Deque<PendingSubmission> queue = new ArrayDeque<>();
   private int transactionsInFlight;
 
@@ -58,16 +62,19 @@
    * @param executor the control thread
    * @param log decision log
    * @param availability whether the store serves this daemon
+   * @param accepted is called with the id and the organisation of each job that the store has
    */
   public SubmissionWriter(
       final KeyValueStore store,
       final Executor executor,
       final DecisionLog log,
-      final StoreAvailability availability) {
+      final StoreAvailability availability,
+      final BiConsumer<String, String> accepted) {
     this.store = store;
     this.executor = executor;
     this.log = log;
     this.availability = availability;
+    this.accepted = accepted;
   }
 
   /**
@@ -141,15 +148,16 @@
   }
 
   private void handleResult(final List<PendingSubmission> batch, final TransactionResult result) {
-    final Set<String> present = new HashSet<>();
+    final Map<String, StoredItem> present = new HashMap<>();
     if (!result.applied()) {
-      result.currentItems().stream().map(StoredItem::key).forEach(present::add);
+      result.currentItems().forEach(item -> present.put(item.key(), item));
     }
     for (final PendingSubmission pending : batch) {
       if (result.applied()) {
+        accepted.accept(pending.job().spec().id(), pending.job().organisation());
         complete(pending, SubmitOutcome.ACCEPTED, "stored at revision " + result.revision());
-      } else if (present.contains(pending.key())) {
-        complete(pending, SubmitOutcome.ACCEPTED, "accepted before");
+      } else if (present.containsKey(pending.key())) {
+        completePresent(pending, present.get(pending.key()), "accepted before");
       } else if (present.isEmpty()) {
         complete(
             pending,
@@ -180,10 +188,8 @@
             logged(
                 (item, failure) -> {
                   if (failure == null && item.isPresent()) {
-                    complete(
-                        pending,
-                        SubmitOutcome.ACCEPTED,
-                        "found in the store after an unconfirmed write");
+                    completePresent(
+                        pending, item.get(), "found in the store after an unconfirmed write");
                   } else {
                     complete(pending, SubmitOutcome.UNKNOWN, reason);
                   }
@@ -191,6 +197,18 @@
             executor);
   }
 
+  /** Completes the submission of a job whose id the store has. */
+  private void completePresent(
+      final PendingSubmission pending, final StoredItem item, final String reason) {
+    final String organisation = Documents.organisation(item);
+    if (organisation.isEmpty() || organisation.equals(pending.job().organisation())) {
+      accepted.accept(pending.job().spec().id(), organisation);
+      complete(pending, SubmitOutcome.ACCEPTED, reason);
+    } else {
+      complete(pending, SubmitOutcome.CONFLICT, "the id belongs to another organisation");
+    }
+  }
+
   private void complete(
       final PendingSubmission pending, final SubmitOutcome outcome, final String reason) {
     log.log(
