Hold back work that would exceed the quota of its organisation

Cause: nothing limited what an organisation has running over all workers.

Change: a ledger with an account for each organisation, updated by RunTracker at the start and the end of a run, so that a check reads three numbers. The scheduler skips a step that its quota holds back; the step is no demand for machines, does not preempt, requests no permit and tells its reason. RecoveryGate counts the tasks that may run on workers which a new leader has not polled.

--- a/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
@@ -79,6 +79,10 @@
   }
 
   private List<WorkerState> workersToAsk(final StepRun step, final long now) {
+    final int startableTasks = step.startableTaskCount();
+    if (startableTasks == 0) {
+      return List.of();
+    }
     final List<WorkerState> workers = fleet.ofService(jobs.serviceOf(step.job()));
     final boolean limitReached = WaitLimit.isReached(step, workers, now + REQUEST_LEAD_NANOS);
     final List<WorkerState> undecided = new ArrayList<>();
@@ -94,7 +98,7 @@
         undecided.add(worker);
       }
     }
-    final int uncoveredTasks = step.waitingTaskCount() - taskCapacity;
+    final int uncoveredTasks = startableTasks - taskCapacity;
     if (uncoveredTasks <= 0) {
       return List.of();
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/Evacuation.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Evacuation.java
@@ -101,8 +101,10 @@
     return false;
   }
 
+  /** Returns whether a run could start on another worker; not above a lowered quota. */
   private static boolean fits(final TaskRun run, final WorkerState other, final long now) {
-    return other != run.worker()
+    return run.task().step().job().account().isWithinLimit()
+        && other != run.worker()
         && other.isSchedulable(now)
         && Placement.fits(run.task().step(), other);
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
@@ -32,6 +32,7 @@
   private final Map<String, JobRun> jobs = new LinkedHashMap<>();
   private final Set<JobRun> active = new LinkedHashSet<>();
   private final Set<JobRun> unsaved = new LinkedHashSet<>();
+  private final OrganisationAccounts accounts = new OrganisationAccounts();
   private JobConfiguration configuration = JobConfiguration.empty();
 
   /**
@@ -41,6 +42,7 @@
    */
   public void configuration(final JobConfiguration newConfiguration) {
     configuration = newConfiguration;
+    accounts.configuration(newConfiguration);
     for (final JobRun job : active) {
       newConfiguration.queue(job.submitted().queue()).ifPresent(job::updateQueue);
     }
@@ -55,6 +57,15 @@
     return configuration;
   }
 
+  /**
+   * Returns the accounts of the organisations.
+   *
+   * @return quotas and usage of all organisations
+   */
+  public OrganisationAccounts accounts() {
+    return accounts;
+  }
+
   /**
    * Adds a job if it is not known yet. An unscheduled job starts its only occurrence at once.
    *
@@ -69,7 +80,8 @@
       return known;
     }
     final long age = Math.min(Math.max(ageMillis, 0) * NANOS_PER_MILLI, MAX_AGE_NANOS);
-    final JobRun job = new JobRun(submitted, queueOf(submitted), now - age);
+    final OrganisationAccount account = accounts.account(submitted.organisation());
+    final JobRun job = new JobRun(submitted, queueOf(submitted), account, now - age);
     jobs.put(job.id(), job);
     active.add(job);
     if (!submitted.spec().timed()) {
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -19,6 +18,7 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final SubmittedJob submitted;
+  private final OrganisationAccount account;
   private final long arrivedAt;
   private final long criticalPathMillis;
   private final Map<Integer, List<StepRun>> occurrences = new TreeMap<>();
@@ -30,8 +30,13 @@
   private int occurrencesDone;
   private boolean started;
 
-  JobRun(final SubmittedJob submitted, final QueueSpec queue, final long arrivedAt) {
+  JobRun(
+      final SubmittedJob submitted,
+      final QueueSpec queue,
+      final OrganisationAccount account,
+      final long arrivedAt) {
     this.submitted = submitted;
+    this.account = account;
     this.queue = queue;
     this.arrivedAt = arrivedAt;
     final List<StepSpec> steps = submitted.spec().steps();
@@ -198,12 +203,21 @@
     final List<StepProgress> persisted = new ArrayList<>();
     if (!state.isFinal()) {
       for (final List<StepRun> steps : occurrences.values()) {
-        steps.forEach(step -> addProgress(step, persisted));
+        steps.forEach(step -> step.progress().ifPresent(persisted::add));
       }
     }
     return new JobProgress(state, finishedMillis, persisted);
   }
 
+  /**
+   * Returns the account of the organisation that submitted the job.
+   *
+   * @return the account, one without limit for a job without organisation
+   */
+  public OrganisationAccount account() {
+    return account;
+  }
+
   /** Returns the number and times of the runs of the job. */
   JobActivity activity() {
     return activity;
@@ -307,35 +321,4 @@
     state = finalState;
     finishedMillis = wallMillis;
   }
-
-  private static void addProgress(final StepRun step, final List<StepProgress> persisted) {
-    final BitSet bits = new BitSet(step.tasks().size());
-    final Map<Integer, Integer> failures = new HashMap<>();
-    final Map<Integer, List<Integer>> failedRuns = new HashMap<>();
-    final Map<Integer, String> checkpoints = new HashMap<>();
-    for (final Task task : step.tasks()) {
-      final int index = task.id().index();
-      if (task.isDone()) {
-        bits.set(index);
-      } else {
-        if (task.failures() > 0) {
-          failures.put(index, task.failures());
-          failedRuns.put(index, task.failedRuns());
-        }
-        if (!task.checkpoint().isEmpty() && task.runs().isEmpty()) {
-          checkpoints.put(index, task.checkpoint());
-        }
-      }
-    }
-    if (!bits.isEmpty() || !failures.isEmpty() || !checkpoints.isEmpty()) {
-      persisted.add(
-          new StepProgress(
-              step.occurrence(),
-              step.number(),
-              bits.toLongArray(),
-              failures,
-              failedRuns,
-              checkpoints));
-    }
-  }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolLoadCalculator.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolLoadCalculator.java
@@ -29,6 +29,7 @@
     private long waitingCpu;
     private double arrivedWork;
     private int minWorkers;
+    private final QuotaBudget quotas = new QuotaBudget();
   }
 
   /**
@@ -103,33 +104,36 @@
   }
 
   private static void addJob(final LoadSum sum, final JobRun job, final long now) {
-    if (now - job.arrivedAt() < ARRIVAL_INTERVAL_NANOS) {
-      sum.arrivedWork += job.remainingWork();
-    }
+    boolean held = false;
     for (final StepRun step : job.steps()) {
       if (!step.isDone()) {
-        addStep(sum, step, job.isReady(step));
+        held |= addStep(sum, step, job.isReady(step));
       }
     }
+    if (!held && now - job.arrivedAt() < ARRIVAL_INTERVAL_NANOS) {
+      sum.arrivedWork += job.remainingWork();
+    }
   }
 
-  private static void addStep(final LoadSum sum, final StepRun step, final boolean ready) {
+  /** Adds a step and returns whether the quota of its organisation holds back some of its tasks. */
+  private static boolean addStep(final LoadSum sum, final StepRun step, final boolean ready) {
     final StepSpec spec = step.spec();
-    if (spec.longRunning()) {
-      sum.minWorkers = Math.max(sum.minWorkers, minWorkersFor(spec));
-    } else {
+    final int waiting = ready ? step.waitingTaskCount() : 0;
+    final int startable = sum.quotas.take(step, waiting);
+    if (!spec.longRunning()) {
       sum.remainingWork += step.remainingWork();
+    } else if (startable > 0 || waiting < step.remainingTasks()) {
+      sum.minWorkers = Math.max(sum.minWorkers, minWorkersFor(spec));
     }
-    for (final Task task : step.tasks()) {
-      if (ready && task.isWaiting()) {
-        sum.waitingTasks++;
-        if (spec.longRunning()) {
-          sum.longRunning = sum.longRunning.plus(spec.reserved());
-        } else {
-          sum.waitingCpu += spec.reserved().cpuMillis();
-        }
+    sum.waitingTasks += startable;
+    for (int task = 0; task < startable; task++) {
+      if (spec.longRunning()) {
+        sum.longRunning = sum.longRunning.plus(spec.reserved());
+      } else {
+        sum.waitingCpu += spec.reserved().cpuMillis();
       }
     }
+    return startable < waiting;
   }
 
   /** Returns the minimum number of workers that can run all tasks of a step. */
--- a/policy/src/main/java/org/lentilsail/policy/job/Preemption.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Preemption.java
@@ -12,7 +12,7 @@
 public final class Preemption {
   /**
    * Time in ns that a long-running task waits for capacity before it preempts runs; it must be
-   * available again within 3 s.
+   * available again within 3 s. The time in which its quota held it back does not count.
    */
   private static final long WAIT_NANOS = 900_000_000L;
 
@@ -29,7 +29,8 @@
    */
   public static List<TaskRun> choose(
       final Task task, final List<WorkerState> workers, final long now) {
-    if (!task.step().spec().longRunning() || now - task.waitingSince() < WAIT_NANOS) {
+    final long waitingSince = Math.max(task.waitingSince(), task.step().heldAt());
+    if (!task.step().spec().longRunning() || now - waitingSince < WAIT_NANOS) {
       return List.of();
     }
     final boolean limitReached = WaitLimit.isReached(task, workers, now);
--- a/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
@@ -1,10 +1,13 @@
 package org.lentilsail.policy.job;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.lentilsail.model.job.Resources;
 import org.lentilsail.model.job.TaskId;
 
 /**
@@ -16,6 +19,7 @@
 public final class RecoveryGate {
   private final Map<String, Pending> pending = new HashMap<>();
   private final Set<TaskId> blocked = new HashSet<>();
+  private final Map<String, List<Charge>> charges = new HashMap<>();
 
   /**
    * A worker that has not been polled yet.
@@ -25,6 +29,14 @@
    */
   private record Pending(Collection<TaskId> tasks, long expiresAt) {}
 
+  /**
+   * The demand of a task that counts as running for its organisation.
+   *
+   * @param account account of the organisation
+   * @param demand demand of the task
+   */
+  private record Charge(OrganisationAccount account, Resources demand) {}
+
   /**
    * Blocks the tasks of all given workers.
    *
@@ -36,11 +48,44 @@
       final Map<String, ? extends Collection<TaskId>> workers,
       final long now,
       final long leaseNanos) {
+    List.copyOf(charges.keySet()).forEach(this::release);
     pending.clear();
     workers.forEach((id, tasks) -> pending.put(id, new Pending(tasks, now + leaseNanos)));
     updateBlocked();
   }
 
+  /**
+   * Counts the blocked tasks as running for their organisations until their workers no longer block
+   * them. The jobs must have been restored, because they tell the demand.
+   *
+   * @param jobs all jobs
+   */
+  public void charge(final JobRegistry jobs) {
+    pending.forEach(
+        (worker, known) -> {
+          release(worker);
+          known.tasks().forEach(task -> charge(worker, task, jobs.job(task.job())));
+        });
+  }
+
+  private void charge(final String worker, final TaskId task, final JobRun job) {
+    if (job == null || task.step() < 0 || task.step() >= job.submitted().spec().steps().size()) {
+      return;
+    }
+    final Resources demand = job.submitted().spec().steps().get(task.step()).demand();
+    job.account().add(demand);
+    charges
+        .computeIfAbsent(worker, key -> new ArrayList<>())
+        .add(new Charge(job.account(), demand));
+  }
+
+  private void release(final String worker) {
+    final List<Charge> released = charges.remove(worker);
+    if (released != null) {
+      released.forEach(charge -> charge.account().subtract(charge.demand()));
+    }
+  }
+
   /**
    * Records that the runs of a worker are known or have certainly ended. The worker no longer
    * blocks its tasks.
@@ -48,6 +93,7 @@
    * @param worker id of the worker
    */
   public void resolved(final String worker) {
+    release(worker);
     final Pending known = pending.remove(worker);
     if (known != null && !known.tasks().isEmpty()) {
       updateBlocked();
@@ -61,6 +107,9 @@
    */
   public void expire(final long now) {
     if (pending.values().removeIf(worker -> now >= worker.expiresAt())) {
+      List.copyOf(charges.keySet()).stream()
+          .filter(worker -> !pending.containsKey(worker))
+          .forEach(this::release);
       updateBlocked();
     }
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -54,6 +54,7 @@
     task.recordRunNumber(run);
     task.runs().add(started);
     task.step().job().activity().recordStart();
+    task.step().job().account().add(task.step().spec().demand());
     worker.add(started);
     return started;
   }
@@ -279,6 +280,7 @@
       return;
     }
     task.step().job().activity().recordEnd();
+    task.step().job().account().subtract(task.step().spec().demand());
     if (run.hasBegun()) {
       task.restartWait(now);
       task.step().job().activity().restartWait(now);
--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -64,6 +64,9 @@
     for (final JobRun job : jobs.active()) {
       for (final StepRun step : job.steps()) {
         for (final Task task : Speculation.find(step, now)) {
+          if (step.quotaHold() != QuotaHold.NONE) {
+            break;
+          }
           final WorkerState first = task.runs().get(0).worker();
           final List<WorkerState> others =
               workers.computeIfAbsent(jobs.serviceOf(job), fleet::ofService).stream()
@@ -106,6 +109,10 @@
       if (!task.isWaiting() || gate.blocks(task.id())) {
         continue;
       }
+      if (step.quotaHold() != QuotaHold.NONE) {
+        step.markHeld(now);
+        return;
+      }
       final WorkerState worker = Placement.choose(task, candidates, now);
       if (worker != null) {
         starts.add(new RunCommand.Start(tracker.start(task, worker, 0, now)));
@@ -132,7 +139,8 @@
       final List<WorkerState> candidates,
       final long now,
       final List<RunCommand.Start> starts) {
-    if (!step.tasks().stream().allMatch(task -> task.isWaiting() && !gate.blocks(task.id()))) {
+    if (step.quotaHold() != QuotaHold.NONE
+        || !step.tasks().stream().allMatch(task -> task.isWaiting() && !gate.blocks(task.id()))) {
       return;
     }
     final List<WorkerState> chosen = GangPlacement.choose(step, candidates, now);
--- a/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
@@ -1,7 +1,13 @@
 package org.lentilsail.policy.job;
 
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lentilsail.model.job.Resources;
+import org.lentilsail.model.job.StepProgress;
 import org.lentilsail.model.job.StepSpec;
 import org.lentilsail.model.job.TaskId;
 
@@ -13,6 +19,13 @@
   private final StepSpec spec;
   private final List<Task> tasks;
   private int done;
+
+  /**
+   * Monotonic time in ns at which a quota last held back the step. The initial value lies before
+   * any monotonic time and does not overflow in differences.
+   */
+  private long heldAt = Long.MIN_VALUE / 2;
+
   private final StepPermits permits = new StepPermits();
   private int measuredTasks;
   private long totalNanos;
@@ -125,6 +138,15 @@
     return !job.queue().requiresAdvice() || !permits.validPermit(worker, now).isEmpty();
   }
 
+  /**
+   * Returns whether and why the quota of the organisation holds back the step.
+   *
+   * @return the reason, {@code NONE} if a task of it, or the whole gang, may start
+   */
+  public QuotaHold quotaHold() {
+    return job.account().hold(spec);
+  }
+
   /** Returns whether a task of the step is waiting for a worker. */
   boolean hasWaitingTasks() {
     return waitingTaskCount() > 0;
@@ -141,6 +163,21 @@
     return waiting;
   }
 
+  /** Records that the quota of the organisation holds back the step now. */
+  void markHeld(final long now) {
+    heldAt = now;
+  }
+
+  /** Returns the monotonic time in ns at which a quota last held back the step. */
+  long heldAt() {
+    return heldAt;
+  }
+
+  /** Returns how many of the waiting tasks the quota of the organisation permits to start. */
+  int startableTaskCount() {
+    return job.account().room(spec, Resources.NONE, waitingTaskCount());
+  }
+
   /**
    * Returns the estimated remaining work.
    *
@@ -188,4 +225,31 @@
   void recount() {
     done = (int) tasks.stream().filter(Task::isDone).count();
   }
+
+  /** Returns the progress that has to be persisted, empty if there is none. */
+  Optional<StepProgress> progress() {
+    final BitSet bits = new BitSet(tasks.size());
+    final Map<Integer, Integer> failures = new HashMap<>();
+    final Map<Integer, List<Integer>> failedRuns = new HashMap<>();
+    final Map<Integer, String> checkpoints = new HashMap<>();
+    for (final Task task : tasks) {
+      final int index = task.id().index();
+      if (task.isDone()) {
+        bits.set(index);
+      } else {
+        if (task.failures() > 0) {
+          failures.put(index, task.failures());
+          failedRuns.put(index, task.failedRuns());
+        }
+        if (!task.checkpoint().isEmpty() && task.runs().isEmpty()) {
+          checkpoints.put(index, task.checkpoint());
+        }
+      }
+    }
+    return bits.isEmpty() && failures.isEmpty() && checkpoints.isEmpty()
+        ? Optional.empty()
+        : Optional.of(
+            new StepProgress(
+                occurrence, number, bits.toLongArray(), failures, failedRuns, checkpoints));
+  }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/WaitLimit.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WaitLimit.java
@@ -21,7 +21,8 @@
    * Returns whether a task has to start on a worker that may be faulty if no other can take it. A
    * job of batch tasks needs one run, and only while less than half of the CPU of the service is in
    * use and two tasks of the step have room: the attempts of waiting jobs must not be used up on a
-   * faulty worker because the healthy ones are busy.
+   * faulty worker because the healthy ones are busy. An organisation that uses half of its quota or
+   * more has no such limit; part of its wait may be due to the quota.
    *
    * @param task a task without a run
    * @param workers workers of its service
@@ -31,6 +32,7 @@
   static boolean isReached(final Task task, final List<WorkerState> workers, final long now) {
     return task.step().spec().longRunning()
         ? now - task.waitingSince() >= MAX_WAIT_NANOS
+            && task.step().job().account().usesLessThanHalf()
         : isBatchLimitReached(task.step(), workers, now);
   }
 
@@ -44,7 +46,9 @@
   private static boolean isBatchLimitReached(
       final StepRun step, final List<WorkerState> workers, final long now) {
     final JobActivity activity = step.job().activity();
-    if (activity.hasRuns() || now - activity.idleSince() < MAX_WAIT_NANOS) {
+    if (!step.job().account().usesLessThanHalf()
+        || activity.hasRuns()
+        || now - activity.idleSince() < MAX_WAIT_NANOS) {
       return false;
     }
     final List<WorkerState> reachable =
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -7,6 +7,7 @@
 import org.lentilsail.model.job.JobSpec;
 import org.lentilsail.model.job.Machine;
 import org.lentilsail.model.job.MachineState;
+import org.lentilsail.model.job.Organisation;
 import org.lentilsail.model.job.QueueSpec;
 import org.lentilsail.model.job.Resources;
 import org.lentilsail.model.job.ServiceSpec;
@@ -36,6 +37,11 @@
   private int jobCount;
 
   JobFixture() {
+    organisations();
+  }
+
+  /** Applies a configuration with just these organisations. */
+  void organisations(final Organisation... organisations) {
     jobs.configuration(
         new JobConfiguration(
             1,
@@ -45,7 +51,7 @@
                 new ServiceSpec(STARTER, true, false),
                 new ServiceSpec(SPARE, true, true)),
             0,
-            List.of()));
+            List.of(organisations)));
   }
 
   /** Adds a machine with a worker that responds. */
@@ -110,6 +116,11 @@
   }
 
   JobRun submit(final String queue, final long now, final StepSpec... steps) {
+    return submitFor("", queue, now, steps);
+  }
+
+  JobRun submitFor(
+      final String organisation, final String queue, final long now, final StepSpec... steps) {
     jobCount++;
     final String id = String.format("%016x", jobCount);
     final String service = queue.equals("holds") ? BOOKING : STARTER;
@@ -120,7 +131,7 @@
             0,
             new JobSpec(id, "work", List.of(steps), 0, 0, 0),
             jobs.configuration().queue(queue).orElse(null),
-            ""),
+            organisation),
         0,
         now);
   }
