Charge placements of earlier leaders and report quotas

Cause: the next leader does not know what runs on workers that it has not polled; operators did not see which organisation is held back.

Change: JobControl charges the persisted placements before it admits workers. Metrics and log lines by organisation; job-idle has the reason. Jobs held by a quota do not count in lentilsail_longest_idle_job_seconds.

--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -11,6 +11,7 @@
 import org.lentilsail.policy.job.JobRun;
 import org.lentilsail.policy.job.PoolLoad;
 import org.lentilsail.policy.job.PoolLoadCalculator;
+import org.lentilsail.policy.job.QuotaHold;
 import org.lentilsail.store.Transaction;
 
 /**
@@ -42,6 +43,7 @@
   private final JobRegistry jobs;
   private final Fleet fleet;
   private final LeaderItems items;
+  private final QuotaReport quotas;
 
   /**
    * Monotonic time in ns of the last log lines. The initial value lies before any monotonic time
@@ -60,6 +62,7 @@
       final Fleet fleet,
       final LeaderItems items) {
     this.items = items;
+    this.quotas = new QuotaReport(context, jobs);
     this.context = context;
     this.fleet = fleet;
     this.jobs = jobs;
@@ -69,7 +72,9 @@
     if (now - loggedAt >= LOG_INTERVAL_NANOS) {
       loggedAt = now;
       new PoolLoadCalculator(jobs, fleet).measure(now).forEach(this::logLoad);
-      logIdleJobs(new IdleJobs(jobs, fleet).find(now));
+      final IdleJobs idleJobs = new IdleJobs(jobs, fleet);
+      logIdleJobs(idleJobs.find(now));
+      quotas.report(idleJobs.heldByOrganisation());
     }
     if (!writeInFlight && now - publishedAt >= PUBLISH_INTERVAL_NANOS) {
       publish(now);
@@ -106,7 +111,14 @@
   }
 
   private void logIdleJobs(final List<IdleJob> idleJobs) {
-    context.metrics().recordLongestIdleJob(idleJobs.isEmpty() ? 0 : idleJobs.get(0).idleNanos());
+    context
+        .metrics()
+        .recordLongestIdleJob(
+            idleJobs.stream()
+                .filter(idle -> idle.quota() == QuotaHold.NONE)
+                .mapToLong(IdleJob::idleNanos)
+                .findFirst()
+                .orElse(0));
     for (final IdleJob idle : idleJobs) {
       context.log().log(
           "job-idle",
@@ -116,6 +128,8 @@
           idle.service(),
           "idleMs",
           idle.idleNanos() / NANOS_PER_MILLI,
+          "quota",
+          idle.quota(),
           "workers",
           idle.workers());
     }
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -139,6 +139,7 @@
   void close() {
     closed = true;
     context.metrics().recordLongestIdleJob(0);
+    context.metrics().clearOrganisations();
     inputWatcher.close();
     registryWatcher.close();
     progressWriter.close();
@@ -260,6 +261,7 @@
         gate.size(),
         "tookMs",
         (context.time().nanos() - claimedAt) / NANOS_PER_MILLI);
+    gate.charge(jobs);
     workers.open();
     ticker =
         context
--- a/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
@@ -4,6 +4,9 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.lentilsail.model.job.Resources;
 
 /** Counters and latency histograms of job control and of the API for callers. Thread-safe. */
 public final class JobMetrics {
@@ -22,6 +25,9 @@
   private final Histogram jobAge;
   private final Counter machineCommands;
   private final Gauge longestIdleJob;
+  private final Gauge usedByOrganisation;
+  private final Gauge heldJobs;
+  private final Set<String> organisations = ConcurrentHashMap.newKeySet();
 
   /**
    * Creates and registers the metrics.
@@ -42,7 +48,19 @@
     longestIdleJob =
         Gauge.builder()
             .name("lentilsail_longest_idle_job_seconds")
-            .help("Longest time for which a job with a ready task has had no run")
+            .help("Longest time for which a job that no quota holds back has had no run")
+            .register(registry);
+    usedByOrganisation =
+        Gauge.builder()
+            .name("lentilsail_organisation_used")
+            .help("Resources that count against the quota of an organisation")
+            .labelNames("organisation", "resource")
+            .register(registry);
+    heldJobs =
+        Gauge.builder()
+            .name("lentilsail_organisation_held_jobs")
+            .help("Jobs with a ready step that the quota of their organisation holds back")
+            .labelNames("organisation")
             .register(registry);
   }
 
@@ -76,6 +94,30 @@
     longestIdleJob.set(idleNanos / NANOS_PER_SECOND);
   }
 
+  /** Records what an organisation of the configuration has running, and its held jobs. */
+  void recordOrganisation(final String name, final Resources used, final int held) {
+    organisations.add(name);
+    usedByOrganisation.labelValues(name, "cpu").set(used.cpuMillis());
+    usedByOrganisation.labelValues(name, "memory").set(used.memoryMb());
+    usedByOrganisation.labelValues(name, "gpu").set(used.gpus());
+    heldJobs.labelValues(name).set(held);
+  }
+
+  /** Removes the values of an organisation that the configuration no longer contains. */
+  void removeOrganisation(final String name) {
+    if (organisations.remove(name)) {
+      usedByOrganisation.remove(name, "cpu");
+      usedByOrganisation.remove(name, "memory");
+      usedByOrganisation.remove(name, "gpu");
+      heldJobs.remove(name);
+    }
+  }
+
+  /** Removes the values of all organisations, which only the leader knows. */
+  void clearOrganisations() {
+    organisations.forEach(this::removeOrganisation);
+  }
+
   private static Counter counter(
       final PrometheusRegistry registry,
       final String name,
