--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -32,6 +32,7 @@
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.Machine;
 import org.lentilsail.model.job.MachineState;
+import org.lentilsail.model.job.Organisation;
 import org.lentilsail.model.job.QueueSpec;
 import org.lentilsail.model.job.Resources;
 import org.lentilsail.model.job.ServiceSpec;
@@ -92,6 +93,7 @@
   private final Map<String, WorkerEntry> entries = new HashMap<>();
   private final Map<String, JobNode> nodes = new LinkedHashMap<>();
   private final List<DecisionLog> logs = new ArrayList<>();
+  private List<Organisation> organisations = List.of();
 
   SimulatedDeployment(final ToLongFunction<TaskId> durations) {
     workers = new SimulatedWorkers(time, executor, durations);
@@ -103,6 +105,12 @@
     store.put(CONFIGURATION_KEY, String.join(",", names).getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Writes a configuration with the queues of the deployment and just these organisations. */
+  void configureOrganisations(final Organisation... configured) {
+    organisations = List.of(configured);
+    configureQueues(QUEUE, ADVISED_QUEUE);
+  }
+
   /** Starts daemons of the default size one after the other, so that the first one leads. */
   List<JobNode> startNodes(final String... daemons) {
     final List<JobNode> started = new ArrayList<>();
@@ -234,6 +242,15 @@
     return await(node.jobApi().submit(submitted(queue, spec)), Duration.ofSeconds(2));
   }
 
+  /** Submits a job of an organisation and waits for the response. */
+  SubmitOutcome submitFor(
+      final JobNode node, final String organisation, final String id, final StepSpec... steps) {
+    final JobSpec spec = new JobSpec(id, "work", List.of(steps), 0, 0, 0);
+    final SubmittedJob job =
+        new SubmittedJob(QUEUE, SERVICE, time.wallMillis(), spec, queue(QUEUE), organisation);
+    return await(node.jobApi().submit(job), Duration.ofSeconds(2));
+  }
+
   /** Describes a job that is submitted now. */
   SubmittedJob submitted(final String queue, final JobSpec spec) {
     return new SubmittedJob(queue, SERVICE, time.wallMillis(), spec, queue(queue), "");
@@ -327,7 +344,7 @@
               Stream.of(names).map(SimulatedDeployment::queue).toList(),
               List.of(new ServiceSpec(SERVICE, true, false)),
               0,
-              List.of()));
+              organisations));
     }
 
     @Override
