--- a/library/src/test/java/org/lentilsail/jobs/RevocationTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/RevocationTest.java
@@ -181,6 +181,26 @@
     assertThat(store.calls, lessThan(13));
   }
 
+  /** Guards against more calls of the store where the settings do not ask for strict bounds. */
+  @Test
+  void boundsThatAreNotStrictLeaveTheWatchAsItWas() {
+    access.configure(new JobConfiguration(1, List.of(QUEUE), List.of(), 0, List.of()));
+    final EvidenceInterval interval =
+        new EvidenceInterval(new RevocationBounds(false, 1_000), access);
+    assertThat(interval.get(), is(PrefixWatcher.WATCH_TIMEOUT));
+  }
+
+  /** Guards against a removed key that an earlier version brings back. */
+  @Test
+  void earlierVersionIsNotApplied() {
+    final ScriptedStore store = new ScriptedStore(executor, WITHOUT_KEY);
+    watch(store, access, executor, time, strict);
+    executor.advance(Duration.ofMillis(100));
+    store.put(WITH_KEY);
+    executor.advance(Duration.ofMillis(100));
+    assertThat(rejection(access), is(Optional.of(AccessRejection.KEY_UNKNOWN)));
+  }
+
   /** Guards against evidence from a response whose configuration could not be read. */
   @Test
   void unreadableConfigurationIsNoEvidence() {
--- a/policy/src/test/java/org/lentilsail/policy/access/AccessControlTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/access/AccessControlTest.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -21,6 +22,7 @@
 import org.lentilsail.model.job.Resources;
 import org.lentilsail.model.time.ClockReading;
 import org.lentilsail.model.time.ManualTimeSource;
+import org.lentilsail.model.time.TimeSource;
 
 /** Guards against calls that are served without a valid key, and against wrong rejections. */
 class AccessControlTest {
@@ -123,6 +125,33 @@
     assertThat(rejection(control, "Bearer key-1"), is(Optional.of(CONFIGURATION_TOO_OLD)));
   }
 
+  /** Guards against a suspension that a wall clock set back before it hides. */
+  @Test
+  void wallClockSetBackBeforeTheEvidenceMakesTheAgeUnknownUntilTheNextResponse() {
+    final AtomicLong wallMillis = new AtomicLong(1_700_000_000_000L);
+    final TimeSource clocks =
+        new TimeSource() {
+          @Override
+          public long wallMillis() {
+            return wallMillis.get();
+          }
+
+          @Override
+          public long nanos() {
+            return time.nanos();
+          }
+        };
+    final AccessControl control = new AccessControl(clocks, new RevocationBounds(true, 5_000));
+    control.configure(configuration(1, organisation("one", "key-1")));
+    control.confirm(ClockReading.of(clocks));
+    wallMillis.addAndGet(-3_000);
+    assertThat(rejection(control, "Bearer key-1"), is(Optional.of(CONFIGURATION_TOO_OLD)));
+    wallMillis.addAndGet(6_000);
+    assertThat(rejection(control, "Bearer key-1"), is(Optional.of(CONFIGURATION_TOO_OLD)));
+    control.confirm(ClockReading.of(clocks));
+    assertThat(rejection(control, "Bearer key-1"), is(Optional.empty()));
+  }
+
   @Test
   void snapshotKeepsItsConfigurationAndAge() {
     final AccessControl control = control(true);
