--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.lentilsail.model.error.ErrorCode;
 import org.lentilsail.model.error.LentilsailException;
@@ -41,6 +42,9 @@
   private long revision = 1;
   private long historyStart = 1;
   private long leaseCount;
+  private boolean leasesPaused;
+  private long leasesPausedAt;
+  private Consumer<Boolean> callListener = isWrite -> {};
 
   /**
    * An item with its lease.
@@ -100,6 +104,33 @@
     answerDelays.put(daemon, millis);
   }
 
+  /**
+   * Sets what is notified of each call that reaches the store, also of calls that it refuses.
+   *
+   * @param listener receives whether the call is a write
+   */
+  public void onCall(final Consumer<Boolean> listener) {
+    callListener = listener;
+  }
+
+  /** Pauses all leases, as a store may do while it is down; none expires until they resume. */
+  public synchronized void pauseLeases() {
+    expireLeases();
+    leasesPaused = true;
+    leasesPausedAt = time.nanos();
+  }
+
+  /** Resumes all leases with the time that they had left. */
+  public synchronized void resumeLeases() {
+    final long paused = time.nanos() - leasesPausedAt;
+    leasesPaused = false;
+    leaseExpiries.replaceAll((lease, expiry) -> expiry + paused);
+    leaseExpiries
+        .values()
+        .forEach(
+            expiry -> executor.schedule(this::expire, expiry - time.nanos(), TimeUnit.NANOSECONDS));
+  }
+
   /** Compacts the history, so that the clients of watches have to read all items again. */
   public synchronized void compact() {
     history.clear();
@@ -140,6 +171,10 @@
     return Optional.ofNullable(entries.get(key)).map(Entry::item);
   }
 
+  void recordCall(final boolean isWrite) {
+    callListener.accept(isWrite);
+  }
+
   synchronized long answerDelayMillis(final String daemon) {
     return answerDelays.getOrDefault(daemon, () -> 0L).getAsLong();
   }
@@ -250,6 +285,9 @@
   }
 
   private void expireLeases() {
+    if (leasesPaused) {
+      return;
+    }
     final List<Long> expired = new ArrayList<>();
     leaseExpiries.forEach(
         (lease, expiry) -> {
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
@@ -100,6 +100,7 @@
       final boolean isWrite,
       final Supplier<CompletableFuture<T>> action,
       final CompletableFuture<T> response) {
+    store.recordCall(isWrite);
     final StoreFault fault = store.faultOf(daemon);
     switch (fault) {
       case REFUSED -> response.completeExceptionally(failure(ErrorCode.PLATFORM_UNAVAILABLE));
--- a/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
@@ -101,6 +101,15 @@
     return jobs;
   }
 
+  /**
+   * Counts the starts of all tasks.
+   *
+   * @return number of starts
+   */
+  public int startCount() {
+    return starts.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
   /**
    * Counts the starts of all tasks of a job.
    *
