Repeat waiting calls when the store has returned

A leader that was alive waited for its next renewal and for the next tick after an outage of the store, and other daemons often claimed before it and had to read all state. ObservedStore and StoreRetries notice the return by any successful call of the daemon and repeat all waiting calls at once; a probe notices the return of a store that did not respond. A regained lease starts a scheduling pass, renewals are repeated every 40 ms and releases every 50 ms while they fail, and a lease whose claim was not confirmed is revoked until the store confirms it. A new leader reads submissions and workers at the same time as the persisted state.

--- a/library/src/main/java/org/lentilsail/jobs/ControlContext.java
+++ b/library/src/main/java/org/lentilsail/jobs/ControlContext.java
@@ -32,4 +32,11 @@
     TimeSource time,
     DecisionLog log,
     JobMetrics metrics,
-    ControlBounds bounds) {}
+    ControlBounds bounds) {
+
+  /** Returns the same dependencies with another store. */
+  ControlContext withStore(final KeyValueStore other) {
+    return new ControlContext(
+        other, workers, machines, advice, documents, executor, time, log, metrics, bounds);
+  }
+}
--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.lentilsail.log.DecisionLog;
 import org.lentilsail.model.time.TimeSource;
@@ -15,6 +14,7 @@
 import org.lentilsail.store.KeyValueStore;
 import org.lentilsail.store.PrefixListener;
 import org.lentilsail.store.PrefixWatcher;
+import org.lentilsail.store.StoreRetries;
 import org.lentilsail.store.StoredItem;
 import org.lentilsail.store.Transaction;
 import org.lentilsail.store.TransactionResult;
@@ -24,18 +24,6 @@
  * counts the terms. Confined to the control thread.
  */
 final class Election implements PrefixListener {
-  /** Upper bound in ms of the random delay before a claim, which makes simultaneous claims rare. */
-  private static final int CLAIM_JITTER_MILLIS = 12;
-
-  /**
-   * Additional delay in ms for each second of uptime. A rolling restart stops the daemons with the
-   * longest uptime next, so a daemon that has just started is preferred as leader.
-   */
-  private static final double CLAIM_DELAY_MILLIS_PER_SECOND = 1.5;
-
-  /** Upper bound in ms of the delay for uptime. */
-  private static final long MAX_UPTIME_DELAY_MILLIS = 45;
-
   /** Delay in ms before a failed claim is retried. */
   private static final long CLAIM_RETRY_DELAY_MILLIS = 120;
 
@@ -52,10 +40,11 @@
   private final DecisionLog log;
   private final LeaderLease lease;
   private final TermListener listener;
+  private final StoreRetries retries;
   private final CapacityPreference capacity;
   private final PrefixWatcher watcher;
   private final LeaderPresence leader = new LeaderPresence();
-  private final long createdAt;
+  private final ClaimDelay claimDelay;
   private boolean loaded;
   private boolean claiming;
   private boolean resigned;
@@ -71,18 +60,29 @@
       final DecisionLog log,
       final Duration timeToLive,
       final CapacityPreference capacity,
-      final TermListener listener) {
+      final TermListener listener,
+      final StoreRetries retries) {
     this.store = store;
+    this.retries = retries;
     this.capacity = capacity;
     this.daemon = daemon;
     this.executor = executor;
     this.time = time;
     this.log = log;
     this.listener = listener;
-    this.createdAt = time.nanos();
-    this.lease = new LeaderLease(store, executor, time, log, timeToLive, this::leaseExpired);
+    this.claimDelay = new ClaimDelay(time, capacity);
+    this.lease =
+        new LeaderLease(
+            store,
+            executor,
+            time,
+            log,
+            timeToLive,
+            this::leaseExpired,
+            listener::leadershipConfirmed,
+            retries);
     this.watcher =
-        new PrefixWatcher(store, StoreKeys.ELECTION, this, executor, time, WATCH_INTERVAL);
+        new PrefixWatcher(store, StoreKeys.ELECTION, this, executor, time, WATCH_INTERVAL, retries);
   }
 
   void start() {
@@ -100,6 +100,11 @@
     lease.release();
   }
 
+  /** Returns whether the store has not confirmed a release; may be called from any thread. */
+  boolean isReleasing() {
+    return lease.isReleasing();
+  }
+
   boolean isLeader() {
     return ownTerm != null && lease.isValid();
   }
@@ -141,19 +146,12 @@
   @Override
   public void onBatchEnd() {
     if (loaded && !leader.isPresent() && !claiming && !resigned) {
-      final long delayMillis = ownTerm != null ? 0 : claimDelay();
+      final long delayMillis = ownTerm != null ? 0 : claimDelay.millis();
       claiming = true;
       executor.schedule(this::claim, delayMillis, TimeUnit.MILLISECONDS);
     }
   }
 
-  private long claimDelay() {
-    final double uptimeSeconds = (time.nanos() - createdAt) / 1e9;
-    return capacity.claimDelayMillis()
-        + ThreadLocalRandom.current().nextInt(CLAIM_JITTER_MILLIS)
-        + Math.min((long) (uptimeSeconds * CLAIM_DELAY_MILLIS_PER_SECOND), MAX_UPTIME_DELAY_MILLIS);
-  }
-
   private void applyItem(final StoredItem item) {
     if (item.key().equals(StoreKeys.LEADER)) {
       leader.shown(item.revision());
@@ -330,12 +328,11 @@
 
   private void claimFailed(final String reason) {
     log.log("control-claim-failed", "term", knownTerm + 1, "reason", reason);
-    executor.schedule(
+    retries.schedule(
         () -> {
           claiming = false;
           onBatchEnd();
         },
-        CLAIM_RETRY_DELAY_MILLIS,
-        TimeUnit.MILLISECONDS);
+        CLAIM_RETRY_DELAY_MILLIS);
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -18,6 +18,7 @@
 import org.lentilsail.policy.job.WorkerState;
 import org.lentilsail.store.PrefixListener;
 import org.lentilsail.store.PrefixWatcher;
+import org.lentilsail.store.StoreRetries;
 
 /**
  * Runs job control for one tenure as leader: restores the persisted state, polls every worker, and
@@ -46,10 +47,13 @@
 
   private final ControlContext context;
   private final Election election;
+  private final StoreRetries retries;
   private final JobRegistry jobs = new JobRegistry();
   private final Fleet fleet = new Fleet();
   private final RecoveryGate gate = new RecoveryGate();
   private final JobInput input;
+  private final HeldListener heldInput;
+  private final HeldListener heldRegistry;
   private final PrefixWatcher inputWatcher;
   private final PrefixWatcher registryWatcher;
   private final LeaderItems items;
@@ -75,8 +79,10 @@
       final ControlContext context,
       final Election election,
       final Term term,
-      final JobConfiguration configuration) {
+      final JobConfiguration configuration,
+      final StoreRetries retries) {
     this.context = context;
+    this.retries = retries;
     this.election = election;
     this.term = term;
     this.claimedAt = context.time().nanos();
@@ -112,19 +118,27 @@
             workers::machinesListed);
     housekeeping = new Housekeeping(context, jobs, fleet, items);
     input = new JobInput(context, jobs, runTracker, this::inputLoaded, this::stateChanged);
-    inputWatcher = watcher(StoreKeys.INPUT, input, INPUT_WATCH_INTERVAL);
+    heldInput = new HeldListener(input);
+    heldRegistry = new HeldListener(workers.registry());
+    inputWatcher = watcher(StoreKeys.INPUT, heldInput, INPUT_WATCH_INTERVAL);
     registryWatcher =
-        watcher(context.documents().workersPrefix(), workers.registry(), REGISTRY_WATCH_INTERVAL);
+        watcher(context.documents().workersPrefix(), heldRegistry, REGISTRY_WATCH_INTERVAL);
     jobs.configuration(configuration);
   }
 
   private PrefixWatcher watcher(
       final String prefix, final PrefixListener listener, final Duration interval) {
     return new PrefixWatcher(
-        context.store(), prefix, listener, context.executor(), context.time(), interval);
+        context.store(), prefix, listener, context.executor(), context.time(), interval, retries);
   }
 
+  /**
+   * Reads submissions and workers at the same time as the persisted state, which is applied first.
+   * The order of the reads does not matter: since the claim only this leader changes that state.
+   */
   void start() {
+    inputWatcher.start();
+    registryWatcher.start();
     load();
   }
 
@@ -210,14 +224,12 @@
                   }
                   if (failure != null) {
                     context.log().log("control-load-failed", "reason", failure.getMessage());
-                    context
-                        .executor()
-                        .schedule(this::load, LOAD_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                    retries.schedule(this::load, LOAD_RETRY_DELAY_MILLIS);
                     return;
                   }
                   restore(state);
-                  inputWatcher.start();
-                  registryWatcher.start();
+                  heldInput.release();
+                  heldRegistry.release();
                 }),
             context.executor());
   }
--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -9,8 +9,10 @@
 import org.lentilsail.model.job.JobConfiguration;
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.store.ItemChange;
+import org.lentilsail.store.ObservedStore;
 import org.lentilsail.store.PrefixListener;
 import org.lentilsail.store.PrefixWatcher;
+import org.lentilsail.store.StoreRetries;
 import org.lentilsail.store.StoredItem;
 
 /**
@@ -29,6 +31,7 @@
   private static final Duration WATCH_INTERVAL = Duration.ofMillis(5);
 
   private final ControlContext context;
+  private final StoreRetries retries;
   private final Election election;
   private final PrefixWatcher operatorWatcher;
   private final JobApi jobApi;
@@ -45,14 +48,17 @@
    * @param cpuMillis CPU of the VM of this daemon in millicores
    */
   public JobNode(final ControlContext context, final String daemon, final long cpuMillis) {
-    this.context = context;
     this.availability = new StoreAvailability(context.time());
+    this.retries =
+        new StoreRetries(
+            context.executor(), context.time(), this::probeStore, availability::recordSuccess);
+    this.context = context.withStore(new ObservedStore(context.store(), retries));
     this.jobApi =
         new JobApi(
-            context.store(), context.executor(), context.log(), context.time(), availability);
+            this.context.store(), context.executor(), context.log(), context.time(), availability);
     this.election =
         new Election(
-            context.store(),
+            this.context.store(),
             daemon,
             context.executor(),
             context.time(),
@@ -60,15 +66,17 @@
             Duration.ofMillis(
                 Math.max(LEADER_LEASE_MILLIS, context.bounds().minStoreLeaseMillis())),
             new CapacityPreference(cpuMillis),
-            this);
+            this,
+            retries);
     this.operatorWatcher =
         new PrefixWatcher(
-            context.store(),
+            this.context.store(),
             context.documents().operatorPrefix(),
             this,
             context.executor(),
             context.time(),
-            WATCH_INTERVAL);
+            WATCH_INTERVAL,
+            retries);
   }
 
   /** Starts to watch the store; may be called from any thread. */
@@ -82,6 +90,16 @@
     context.executor().execute(election::resign);
   }
 
+  /**
+   * Returns whether this daemon has resigned and the store has not confirmed it yet; the next
+   * leader may have to wait for the lease. May be called from any thread.
+   *
+   * @return true while the release of the lease is repeated
+   */
+  public boolean isReleasing() {
+    return election.isReleasing();
+  }
+
   /**
    * Returns the operations that callers can perform on jobs; may be called from any thread.
    *
@@ -134,11 +152,18 @@
     leadershipLost();
     final JobConfiguration current =
         configuration == null ? JobConfiguration.empty() : configuration;
-    control = new JobControl(context, election, term, current);
+    control = new JobControl(context, election, term, current, retries);
     waves.values().forEach(control::requestWave);
     control.start();
   }
 
+  @Override
+  public void leadershipConfirmed() {
+    if (control != null) {
+      control.stateChanged();
+    }
+  }
+
   @Override
   public void leadershipLost() {
     if (control != null) {
@@ -147,6 +172,10 @@
     }
   }
 
+  private void probeStore() {
+    context.store().get(StoreKeys.TERM);
+  }
+
   private void applyItem(final StoredItem item) {
     context.documents().configuration(item).ifPresent(this::applyConfiguration);
     context.documents().wave(item).ifPresent(this::applyWaveRequest);
--- a/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
@@ -3,13 +3,16 @@
 import static org.lentilsail.concurrent.Callbacks.logged;
 
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.lentilsail.log.DecisionLog;
 import org.lentilsail.model.time.TimeSource;
 import org.lentilsail.store.GrantedLease;
 import org.lentilsail.store.KeyValueStore;
+import org.lentilsail.store.StoreRetries;
 
 /**
  * Renews the lease of the leader and tracks until when it is known to be valid. Confined to the
@@ -31,13 +34,13 @@
   private static final long SUSPENSION_THRESHOLD_NANOS = 400_000_000L;
 
   /**
-   * Interval in ms of renewals while they fail, so that the leader continues soon after an outage
-   * of the store.
+   * Interval in ms of renewals while they fail. The other daemons claim 45 ms or more after the
+   * return of the store; the leader, which has all state, is to be earlier.
    */
-  private static final long FAILED_RENEWAL_DELAY_MILLIS = 100;
+  private static final long FAILED_RENEWAL_DELAY_MILLIS = 40;
 
   /** Time in ms after which an unconfirmed release is repeated. */
-  private static final long RELEASE_RETRY_DELAY_MILLIS = 100;
+  private static final long RELEASE_RETRY_DELAY_MILLIS = 50;
 
   /** Time in ns after which an unconfirmed release is abandoned; longer than a usual outage. */
   private static final long MAX_RELEASE_NANOS = 10_000_000_000L;
@@ -50,6 +53,9 @@
   private final DecisionLog log;
   private final Duration timeToLive;
   private final Runnable expired;
+  private final Runnable regained;
+  private final StoreRetries retries;
+  private final Set<Long> releasing = ConcurrentHashMap.newKeySet();
   private GrantedLease lease;
   private long renewedAt;
   private long renewedWallMillis;
@@ -64,12 +70,34 @@
       final DecisionLog log,
       final Duration timeToLive,
       final Runnable expired) {
+    this(
+        store,
+        executor,
+        time,
+        log,
+        timeToLive,
+        expired,
+        () -> {},
+        new StoreRetries(executor, time));
+  }
+
+  LeaderLease(
+      final KeyValueStore store,
+      final ScheduledExecutorService executor,
+      final TimeSource time,
+      final DecisionLog log,
+      final Duration timeToLive,
+      final Runnable expired,
+      final Runnable regained,
+      final StoreRetries retries) {
     this.store = store;
     this.executor = executor;
     this.time = time;
     this.log = log;
     this.timeToLive = timeToLive;
     this.expired = expired;
+    this.regained = regained;
+    this.retries = retries;
   }
 
   CompletableFuture<GrantedLease> grant() {
@@ -119,20 +147,34 @@
     }
   }
 
+  /** Returns whether a release is not confirmed yet; may be called from any thread. */
+  boolean isReleasing() {
+    return !releasing.isEmpty();
+  }
+
   private void revoke(final GrantedLease granted, final long until) {
-    final CompletableFuture<Void> revoked = store.revokeLease(granted.id());
-    executor.schedule(
-        () -> {
-          if (!isConfirmed(revoked) && time.nanos() < until) {
-            revoke(granted, until);
-          }
-        },
-        RELEASE_RETRY_DELAY_MILLIS,
-        TimeUnit.MILLISECONDS);
+    releasing.add(granted.id());
+    store
+        .revokeLease(granted.id())
+        .thenRun(
+            () -> {
+              if (releasing.remove(granted.id())) {
+                log.log("lease-released", "lease", granted.id());
+              }
+            });
+    retries.schedule(() -> repeatRevoke(granted, until), RELEASE_RETRY_DELAY_MILLIS);
   }
 
-  private static boolean isConfirmed(final CompletableFuture<Void> revoked) {
-    return revoked.isDone() && !revoked.isCompletedExceptionally();
+  private void repeatRevoke(final GrantedLease granted, final long until) {
+    if (!releasing.contains(granted.id())) {
+      return;
+    }
+    if (time.nanos() < until) {
+      revoke(granted, until);
+    } else {
+      releasing.remove(granted.id());
+      log.log("lease-end-failed", "lease", granted.id(), "reason", "the store does not respond");
+    }
   }
 
   /** Stops the renewals without revoking the lease in the store. */
@@ -141,15 +183,12 @@
     leaseGeneration++;
   }
 
+  /**
+   * Revokes a lease that was granted and is not held. Its claim may have been applied without a
+   * confirmation, so the call is repeated like a release.
+   */
   void discard(final GrantedLease granted) {
-    store
-        .revokeLease(granted.id())
-        .whenComplete(
-            (ignored, failure) -> {
-              if (failure != null) {
-                log.log("lease-end-failed", "lease", granted.id(), "reason", failure.getMessage());
-              }
-            });
+    revoke(granted, time.nanos() + MAX_RELEASE_NANOS);
   }
 
   private void recordRenewal(final long sentAt, final long sentWallMillis) {
@@ -159,10 +198,12 @@
   }
 
   private void scheduleRenewal(final int expectedGeneration) {
-    executor.schedule(
-        () -> renewPeriodically(expectedGeneration),
-        renewalFailing ? FAILED_RENEWAL_DELAY_MILLIS : lease.ttlMillis() / RENEWALS_PER_TTL,
-        TimeUnit.MILLISECONDS);
+    final Runnable renewal = () -> renewPeriodically(expectedGeneration);
+    if (renewalFailing) {
+      retries.schedule(renewal, FAILED_RENEWAL_DELAY_MILLIS);
+    } else {
+      executor.schedule(renewal, lease.ttlMillis() / RENEWALS_PER_TTL, TimeUnit.MILLISECONDS);
+    }
   }
 
   private void renewPeriodically(final int expectedGeneration) {
@@ -198,12 +239,13 @@
         log.log("lease-renewal-failed", "lease", lease.id(), "reason", failure.getMessage());
       }
     } else if (alive) {
+      if (sentAt >= renewedAt) {
+        recordRenewal(sentAt, sentWallMillis);
+      }
       if (renewalFailing) {
         renewalFailing = false;
         log.log("lease-renewal-regained", "lease", lease.id());
-      }
-      if (sentAt >= renewedAt) {
-        recordRenewal(sentAt, sentWallMillis);
+        regained.run();
       }
     } else {
       log.log("lease-expired", "lease", lease.id());
--- a/library/src/main/java/org/lentilsail/jobs/TermListener.java
+++ b/library/src/main/java/org/lentilsail/jobs/TermListener.java
@@ -10,6 +10,9 @@
    */
   void elected(Term term, boolean uninterrupted);
 
+  /** Called when the store has confirmed the leadership of this daemon again after failures. */
+  void leadershipConfirmed();
+
   /** Called when this daemon has lost or resigned leadership. */
   void leadershipLost();
 }
--- a/library/src/main/java/org/lentilsail/store/PrefixWatcher.java
+++ b/library/src/main/java/org/lentilsail/store/PrefixWatcher.java
@@ -30,12 +30,19 @@
   private final ScheduledExecutorService executor;
   private final TimeSource time;
   private final long minIntervalNanos;
+  private final StoreRetries retries;
   private boolean closed;
   private boolean loaded;
   private boolean failing;
   private long revision;
   private long lastCallAt;
 
+  /** Number of the current call; the response to an earlier one is ignored. */
+  private int callNumber;
+
+  /** Repeats the current call when the store has returned. */
+  private Runnable retryOnReturn = () -> {};
+
   /**
    * Monotonic time in ns of the last response. The initial value lies before any monotonic time and
    * does not overflow in differences.
@@ -60,12 +67,36 @@
       final ScheduledExecutorService executor,
       final TimeSource time,
       final Duration minInterval) {
+    this(store, prefix, listener, executor, time, minInterval, new StoreRetries(executor, time));
+  }
+
+  /**
+   * Creates a watcher that has not started.
+   *
+   * @param store the store
+   * @param prefix prefix of the keys
+   * @param listener is notified of the items and their changes
+   * @param executor executor with a single thread
+   * @param time source of monotonic time
+   * @param minInterval minimum time between two calls, so that one response can contain many
+   *     changes
+   * @param retries repeats a call that failed or is waiting when the store has returned
+   */
+  public PrefixWatcher(
+      final KeyValueStore store,
+      final String prefix,
+      final PrefixListener listener,
+      final ScheduledExecutorService executor,
+      final TimeSource time,
+      final Duration minInterval,
+      final StoreRetries retries) {
     this.store = store;
     this.prefix = prefix;
     this.listener = listener;
     this.executor = executor;
     this.time = time;
     this.minIntervalNanos = minInterval.toNanos();
+    this.retries = retries;
   }
 
   /** Starts watching. */
@@ -86,17 +117,19 @@
   @Override
   public void close() {
     closed = true;
+    retries.cancel(retryOnReturn);
   }
 
   private void readAll() {
     if (closed) {
       return;
     }
+    final int number = beginCall(this::readAll);
     RangeReader.readAll(store, prefix)
         .whenCompleteAsync(
             logged(
                 (page, failure) -> {
-                  if (closed) {
+                  if (!endCall(number)) {
                     return;
                   }
                   if (failure != null) {
@@ -123,12 +156,13 @@
       return;
     }
     lastCallAt = time.nanos();
+    final int number = beginCall(this::watch);
     store
         .watch(prefix, revision, WATCH_TIMEOUT)
         .whenCompleteAsync(
             logged(
                 (batch, failure) -> {
-                  if (closed) {
+                  if (!endCall(number)) {
                     return;
                   }
                   if (failure != null) {
@@ -141,6 +175,30 @@
             executor);
   }
 
+  /**
+   * Begins a call. It is repeated when the store has returned, because a call that was sent during
+   * an outage may wait for its timeout, which is above 2 s for a watch.
+   */
+  private int beginCall(final Runnable repeat) {
+    callNumber++;
+    retryOnReturn =
+        retries.onReturn(
+            () -> {
+              callNumber++;
+              repeat.run();
+            });
+    return callNumber;
+  }
+
+  /** Ends a call; returns false if its response must be ignored. */
+  private boolean endCall(final int number) {
+    if (number != callNumber) {
+      return false;
+    }
+    retries.cancel(retryOnReturn);
+    return !closed;
+  }
+
   private void applyChanges(final WatchBatch batch) {
     if (batch.historyCompacted()) {
       Logger.info("event=history-lost prefix={} revision={}", prefix, revision);
@@ -180,6 +238,6 @@
           loaded,
           failure.getMessage());
     }
-    executor.schedule(retry, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    retries.schedule(retry, RETRY_DELAY_MILLIS);
   }
 }
