--- a/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
@@ -22,6 +22,7 @@
   private final Histogram jobAge;
   private final Counter machineCommands;
   private final Gauge longestIdleJob;
+  private final Counter storeReturns;
 
   /**
    * Creates and registers the metrics.
@@ -39,6 +40,8 @@
     jobAge = histogram(registry, "job_seconds", "Time from the acceptance of a job to its end");
     machineCommands =
         counter(registry, "machine_orders", "Orders about machines by answer", "kind", "answer");
+    storeReturns =
+        counter(registry, "store_returns", "Outages of the store that have ended for this daemon");
     longestIdleJob =
         Gauge.builder()
             .name("lentilsail_longest_idle_job_seconds")
@@ -72,6 +75,10 @@
     machineCommands.labelValues(kind, answer).inc();
   }
 
+  void recordStoreReturn() {
+    storeReturns.inc();
+  }
+
   void recordLongestIdleJob(final long idleNanos) {
     longestIdleJob.set(idleNanos / NANOS_PER_SECOND);
   }
--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -50,8 +50,7 @@
   public JobNode(final ControlContext context, final String daemon, final long cpuMillis) {
     this.availability = new StoreAvailability(context.time());
     this.retries =
-        new StoreRetries(
-            context.executor(), context.time(), this::probeStore, availability::recordSuccess);
+        new StoreRetries(context.executor(), context.time(), this::probeStore, this::storeReturned);
     this.context = context.withStore(new ObservedStore(context.store(), retries));
     this.jobApi =
         new JobApi(
@@ -172,6 +171,11 @@
     }
   }
 
+  private void storeReturned() {
+    availability.recordSuccess();
+    context.metrics().recordStoreReturn();
+  }
+
   private void probeStore() {
     context.store().get(StoreKeys.TERM);
   }
