--- a/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
@@ -31,6 +31,7 @@
   private final Gauge usedByOrganisation;
   private final Gauge heldJobs;
   private final Set<String> organisations = ConcurrentHashMap.newKeySet();
+  private final Counter storeReturns;
 
   /**
    * Creates and registers the metrics.
@@ -57,6 +58,8 @@
     jobAge = histogram(registry, "job_seconds", "Time from the acceptance of a job to its end");
     machineCommands =
         counter(registry, "machine_orders", "Orders about machines by answer", "kind", "answer");
+    storeReturns =
+        counter(registry, "store_returns", "Outages of the store that have ended for this daemon");
     longestIdleJob =
         Gauge.builder()
             .name("lentilsail_longest_idle_job_seconds")
@@ -121,6 +124,10 @@
     machineCommands.labelValues(kind, answer).inc();
   }
 
+  void recordStoreReturn() {
+    storeReturns.inc();
+  }
+
   void recordLongestIdleJob(final long idleNanos) {
     longestIdleJob.set(idleNanos / NANOS_PER_SECOND);
   }
--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -8,7 +8,9 @@
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.policy.access.AccessControl;
 import org.lentilsail.policy.access.AccessSnapshot;
+import org.lentilsail.store.ObservedStore;
 import org.lentilsail.store.PrefixWatcher;
+import org.lentilsail.store.StoreRetries;
 
 /**
  * The job scheduling component of a daemon: watches the operators' configuration, takes part in the
@@ -26,6 +28,7 @@
   private static final Duration WATCH_INTERVAL = Duration.ofMillis(5);
 
   private final ControlContext context;
+  private final StoreRetries retries;
   private final Election election;
   private final OperatorItems operatorItems;
   private final PrefixWatcher operatorWatcher;
@@ -42,14 +45,16 @@
    * @param cpuMillis CPU of the VM of this daemon in millicores
    */
   public JobNode(final ControlContext context, final String daemon, final long cpuMillis) {
-    this.context = context;
     this.availability = new StoreAvailability(context.time());
+    this.retries =
+        new StoreRetries(context.executor(), context.time(), this::probeStore, this::storeReturned);
+    this.context = context.withStore(new ObservedStore(context.store(), retries));
     this.jobApi =
         new JobApi(
-            context.store(), context.executor(), context.log(), context.time(), availability);
+            this.context.store(), context.executor(), context.log(), context.time(), availability);
     this.election =
         new Election(
-            context.store(),
+            this.context.store(),
             daemon,
             context.executor(),
             context.time(),
@@ -57,7 +62,8 @@
             Duration.ofMillis(
                 Math.max(LEADER_LEASE_MILLIS, context.bounds().minStoreLeaseMillis())),
             new CapacityPreference(cpuMillis),
-            this);
+            this,
+            retries);
     this.operatorItems =
         new OperatorItems(
             context.documents(),
@@ -67,13 +73,14 @@
             availability::recordSuccess);
     this.operatorWatcher =
         new PrefixWatcher(
-            context.store(),
+            this.context.store(),
             context.documents().operatorPrefix(),
             operatorItems,
             context.executor(),
             context.time(),
             WATCH_INTERVAL,
-            new EvidenceInterval(context.bounds().revocation(), operatorItems.access()));
+            new EvidenceInterval(context.bounds().revocation(), operatorItems.access()),
+            retries);
   }
 
   /** Starts to watch the store; may be called from any thread. */
@@ -87,6 +94,16 @@
     context.executor().execute(election::resign);
   }
 
+  /**
+   * Returns whether this daemon has resigned and the store has not confirmed it yet; the next
+   * leader may have to wait for the lease. May be called from any thread.
+   *
+   * @return true while the release of the lease is repeated
+   */
+  public boolean isReleasing() {
+    return election.isReleasing();
+  }
+
   /**
    * Returns the operations that callers can perform on jobs; may be called from any thread.
    *
@@ -132,11 +149,19 @@
     }
     leadershipLost();
     control =
-        new JobControl(context, election, term, configuration().orElseGet(JobConfiguration::empty));
+        new JobControl(
+            context, election, term, configuration().orElseGet(JobConfiguration::empty), retries);
     waves.values().forEach(control::requestWave);
     control.start();
   }
 
+  @Override
+  public void leadershipConfirmed() {
+    if (control != null) {
+      control.stateChanged();
+    }
+  }
+
   @Override
   public void leadershipLost() {
     if (control != null) {
@@ -145,6 +170,15 @@
     }
   }
 
+  private void storeReturned() {
+    availability.recordSuccess();
+    context.metrics().recordStoreReturn();
+  }
+
+  private void probeStore() {
+    context.store().get(StoreKeys.TERM);
+  }
+
   private void applyConfiguration(final JobConfiguration received) {
     context.log().log(
         "configuration-in-force",
--- a/library/src/test/java/org/lentilsail/jobs/RevocationTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/RevocationTest.java
@@ -25,6 +25,7 @@
 import org.lentilsail.policy.access.AccessRejection;
 import org.lentilsail.policy.access.RevocationBounds;
 import org.lentilsail.store.PrefixWatcher;
+import org.lentilsail.store.StoreRetries;
 import org.lentilsail.store.StoredItem;
 
 /**
@@ -272,7 +273,8 @@
             executor,
             clocks,
             Duration.ofMillis(5),
-            new EvidenceInterval(bounds, access))
+            new EvidenceInterval(bounds, access),
+            new StoreRetries(executor, clocks))
         .start();
   }
 
