--- a/policy/src/test/java/org/lentilsail/policy/job/QuotaTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/QuotaTest.java
@@ -167,12 +167,13 @@
 
   @Test
   void heldWorkIsNoDemandForMachines() {
+    fixture.submitFor(ACME, "holds", 0, step(1, 1_000, 500));
     fixture.submitFor(ACME, "holds", 0, step(50, 1_000, 500));
     fixture.submitFor(ACME, "holds", 0, longRunning(4, 1, 1));
     final PoolLoad load = load(0);
     assertThat(load.waitingTasks(), is(2));
     assertThat(load.waitingCpu(), is(2_000L));
-    assertThat(load.arrivingCpu(), is(0L));
+    assertThat(load.arrivingCpu(), is(625L));
     assertThat(load.longRunning(), is(Resources.NONE));
     assertThat(load.minWorkers(), is(0));
     fixture.place(0);
