Check free resources of a worker before its health

The health checks of a worker are several, and in a full pool no worker has room: each pass asked all workers for each waiting step. The order of two conditions without side effects is swapped; what is chosen is the same.

--- a/policy/src/main/java/org/lentilsail/policy/job/Placement.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Placement.java
@@ -70,8 +70,8 @@
     WorkerState best = null;
     double bestScore = Double.NEGATIVE_INFINITY;
     for (final WorkerState worker : candidates) {
-      if ((limitReached ? mayRisk(task, worker, now) : isHealthy(task, worker, now))
-          && isAllowed(task, worker, now)) {
+      if (isAllowed(task, worker, now)
+          && (limitReached ? mayRisk(task, worker, now) : isHealthy(task, worker, now))) {
         final double score = score(task, worker, now);
         if (best == null || score > bestScore) {
           best = worker;
