Divide short capacity between organisations by weight, and defer jobs in excess

A burst of one organisation delayed the jobs of all others, since the order of waiting steps did not know organisations. A job is now in excess if its organisation submitted more than its weight allows in the 5 s before; such a job comes after those within the weight while both can meet their objective. Within a class the organisation with the smallest dominant share of running work relative to its weight goes first, also within one pass. A configuration without organisations keeps the order it had.

--- a/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
@@ -62,7 +62,8 @@
       }
       for (final StepRun step : job.steps()) {
         if (step.hasWaitingTasks()) {
-          (job.isReady(step) ? ready : notReady).add(StepPriority.rank(step, now));
+          (job.isReady(step) ? ready : notReady)
+              .add(StepPriority.rank(step, jobs.isInExcess(job), now));
         }
       }
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
@@ -32,6 +32,7 @@
   private final Map<String, JobRun> jobs = new LinkedHashMap<>();
   private final Set<JobRun> active = new LinkedHashSet<>();
   private final Set<JobRun> unsaved = new LinkedHashSet<>();
+  private final ExcessJobs excess = new ExcessJobs();
   private JobConfiguration configuration = JobConfiguration.empty();
 
   /**
@@ -41,6 +42,7 @@
    */
   public void configuration(final JobConfiguration newConfiguration) {
     configuration = newConfiguration;
+    excess.configuration(newConfiguration);
     for (final JobRun job : active) {
       newConfiguration.queue(job.submitted().queue()).ifPresent(job::updateQueue);
     }
@@ -72,6 +74,7 @@
     final JobRun job = new JobRun(submitted, queueOf(submitted), now - age);
     jobs.put(job.id(), job);
     active.add(job);
+    excess.add(job);
     if (!submitted.spec().timed()) {
       job.startOccurrence(0, now);
     }
@@ -182,6 +185,11 @@
     return job.queue().service();
   }
 
+  /** Returns whether a job was submitted beyond the weight of its organisation. */
+  boolean isInExcess(final JobRun job) {
+    return excess.contains(job);
+  }
+
   /**
    * Removes and returns jobs whose progress has changed since they were last persisted.
    *
@@ -223,8 +231,11 @@
    */
   public void remove(final String id) {
     final JobRun job = jobs.remove(id);
-    active.remove(job);
-    unsaved.remove(job);
+    if (job != null) {
+      active.remove(job);
+      unsaved.remove(job);
+      excess.remove(job);
+    }
   }
 
   void finish(final JobRun job, final JobState state, final long wallMillis) {
--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /** Assigns waiting tasks to workers. Confined to the control thread. */
 public final class Scheduler {
@@ -12,6 +13,7 @@
   private final Fleet fleet;
   private final RunTracker tracker;
   private final RecoveryGate gate;
+  private final Supplier<OrganisationUsage> usage;
 
   /**
    * Creates a scheduler.
@@ -26,6 +28,25 @@
       final Fleet fleet,
       final RunTracker tracker,
       final RecoveryGate gate) {
+    this(jobs, fleet, tracker, gate, () -> new FleetUsage(fleet));
+  }
+
+  /**
+   * Creates a scheduler.
+   *
+   * @param jobs all jobs
+   * @param fleet all workers
+   * @param tracker tracks the runs
+   * @param gate blocks tasks that may still run after a change of the leader
+   * @param usage returns what the organisations have in use at the beginning of a pass
+   */
+  public Scheduler(
+      final JobRegistry jobs,
+      final Fleet fleet,
+      final RunTracker tracker,
+      final RecoveryGate gate,
+      final Supplier<OrganisationUsage> usage) {
+    this.usage = usage;
     this.jobs = jobs;
     this.fleet = fleet;
     this.tracker = tracker;
@@ -42,20 +63,48 @@
   public List<RunCommand.Start> place(final long now) {
     final List<RunCommand.Start> starts = new ArrayList<>();
     final Map<String, List<WorkerState>> workers = new HashMap<>();
-    for (final StepPriority.Rank rank : waiting(now)) {
-      final StepRun step = rank.step();
-      final List<WorkerState> candidates =
-          workers.computeIfAbsent(jobs.serviceOf(step.job()), fleet::ofService);
-      if (step.spec().gang()) {
-        placeGang(step, candidates, now, starts);
-      } else {
-        placeTasks(step, candidates, now, starts);
-      }
+    final List<StepPriority.Rank> waiting = waiting(now);
+    if (jobs.configuration().organisations().isEmpty()) {
+      waiting.forEach(rank -> placeStep(rank.step(), workers, now, starts));
+    } else if (!waiting.isEmpty()) {
+      placeInTurns(waiting, workers, now, starts);
     }
     placeCopies(workers, now, starts);
     return starts;
   }
 
+  /** Places the steps in the order that divides the capacity between the organisations. */
+  private void placeInTurns(
+      final List<StepPriority.Rank> waiting,
+      final Map<String, List<WorkerState>> workers,
+      final long now,
+      final List<RunCommand.Start> starts) {
+    final OrganisationShares shares =
+        new OrganisationShares(jobs.configuration().organisations(), usage.get(), fleet);
+    final FairOrder order = new FairOrder(waiting, shares);
+    for (StepPriority.Rank rank = order.next(); rank != null; rank = order.next()) {
+      final int before = starts.size();
+      placeStep(rank.step(), workers, now, starts);
+      for (int i = before; i < starts.size(); i++) {
+        order.charge(rank.step().spec().demand());
+      }
+    }
+  }
+
+  private void placeStep(
+      final StepRun step,
+      final Map<String, List<WorkerState>> workers,
+      final long now,
+      final List<RunCommand.Start> starts) {
+    final List<WorkerState> candidates =
+        workers.computeIfAbsent(jobs.serviceOf(step.job()), fleet::ofService);
+    if (step.spec().gang()) {
+      placeGang(step, candidates, now, starts);
+    } else {
+      placeTasks(step, candidates, now, starts);
+    }
+  }
+
   /** Starts speculative copies of slow tasks in the remaining capacity. */
   private void placeCopies(
       final Map<String, List<WorkerState>> workers,
@@ -87,9 +136,10 @@
   List<StepPriority.Rank> waiting(final long now) {
     final List<StepPriority.Rank> ranks = new ArrayList<>();
     for (final JobRun job : jobs.active()) {
+      final boolean inExcess = jobs.isInExcess(job);
       for (final StepRun step : job.steps()) {
         if (!step.isDone() && job.isReady(step) && step.hasWaitingTasks()) {
-          ranks.add(StepPriority.rank(step, now));
+          ranks.add(StepPriority.rank(step, inExcess, now));
         }
       }
     }
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -7,6 +7,7 @@
 import org.lentilsail.model.job.JobSpec;
 import org.lentilsail.model.job.Machine;
 import org.lentilsail.model.job.MachineState;
+import org.lentilsail.model.job.Organisation;
 import org.lentilsail.model.job.QueueSpec;
 import org.lentilsail.model.job.Resources;
 import org.lentilsail.model.job.ServiceSpec;
@@ -109,7 +110,26 @@
     machines.replace(currentMachines, now);
   }
 
+  /** Configures organisations. */
+  void organisations(final Organisation... organisations) {
+    final JobConfiguration old = jobs.configuration();
+    jobs.configuration(
+        new JobConfiguration(
+            old.version() + 1, old.queues(), old.services(), 0, List.of(organisations)));
+  }
+
+  /** Creates an organisation without quota. */
+  static Organisation organisation(final String name, final double weight) {
+    return new Organisation(name, List.of(), weight, Resources.NONE);
+  }
+
   JobRun submit(final String queue, final long now, final StepSpec... steps) {
+    return submitAs("", queue, now, steps);
+  }
+
+  /** Submits a job of an organisation, empty for none. */
+  JobRun submitAs(
+      final String organisation, final String queue, final long now, final StepSpec... steps) {
     jobCount++;
     final String id = String.format("%016x", jobCount);
     final String service = queue.equals("holds") ? BOOKING : STARTER;
@@ -117,10 +137,10 @@
         new SubmittedJob(
             queue,
             service,
-            0,
+            now / MILLI,
             new JobSpec(id, "work", List.of(steps), 0, 0, 0),
             jobs.configuration().queue(queue).orElse(null),
-            ""),
+            organisation),
         0,
         now);
   }
