Merge fair shares of organisations and connect them with the ledger

Cause: the order of waiting steps summed up the runs of all workers once a pass, beside the ledger that the quotas keep.

--- a/policy/src/main/java/org/lentilsail/policy/job/OrganisationAccounts.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/OrganisationAccounts.java
@@ -10,7 +10,7 @@
 import org.lentilsail.model.job.Resources;
 
 /** The accounts of all organisations with jobs. Confined to the control thread. */
-public final class OrganisationAccounts {
+public final class OrganisationAccounts implements OrganisationUsage {
   private final Map<String, OrganisationAccount> accounts = new LinkedHashMap<>();
   private final Map<String, Resources> limits = new HashMap<>();
   private boolean configurationKnown;
@@ -29,6 +29,11 @@
     return Collections.unmodifiableCollection(accounts.values());
   }
 
+  @Override
+  public Resources running(final String organisation) {
+    return account(organisation).used();
+  }
+
   /**
    * Applies the limits of a configuration.
    *
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -115,6 +115,11 @@
     machines.replace(currentMachines, now);
   }
 
+  /** Creates an organisation without quota. */
+  static Organisation organisation(final String name, final double weight) {
+    return new Organisation(name, List.of(), weight, Resources.NONE);
+  }
+
   JobRun submit(final String queue, final long now, final StepSpec... steps) {
     return submitFor("", queue, now, steps);
   }
@@ -128,7 +133,7 @@
         new SubmittedJob(
             queue,
             service,
-            0,
+            now / MILLI,
             new JobSpec(id, "work", List.of(steps), 0, 0, 0),
             jobs.configuration().queue(queue).orElse(null),
             organisation),
