--- a/policy/src/main/java/org/lentilsail/policy/job/QuotaAdmission.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/QuotaAdmission.java
@@ -17,13 +17,11 @@
    * of one that the configuration lacks, has no limit.
    *
    * @param job the submitted job
-   * @param configuration the configuration in effect, empty before the first one
+   * @param configuration the configuration by which the job was submitted
    * @throws LentilsailException if a task of a step, or a whole gang, needs more than the limit
    */
-  public static void requireFits(
-      final SubmittedJob job, final Optional<JobConfiguration> configuration) {
-    final Optional<Organisation> organisation =
-        configuration.flatMap(known -> known.organisation(job.organisation()));
+  public static void requireFits(final SubmittedJob job, final JobConfiguration configuration) {
+    final Optional<Organisation> organisation = configuration.organisation(job.organisation());
     if (organisation.isEmpty()) {
       return;
     }
--- a/policy/src/test/java/org/lentilsail/policy/job/QuotaAdmissionTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/QuotaAdmissionTest.java
@@ -8,7 +8,6 @@
 import static org.lentilsail.policy.job.JobFixture.step;
 
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -60,15 +59,14 @@
   void limitsNoJobOfUnknownOrganisationOrWithoutConfiguration() {
     check("", new Resources(1, 1, 0), step(1, 9_000, 9));
     check("removed", new Resources(1, 1, 0), step(1, 9_000, 9));
-    QuotaAdmission.requireFits(job(ACME, step(1, 9_000, 9)), Optional.empty());
+    QuotaAdmission.requireFits(job(ACME, step(1, 9_000, 9)), JobConfiguration.empty());
   }
 
   private static void check(
       final String organisation, final Resources limit, final StepSpec... steps) {
     final Organisation acme = new Organisation(ACME, List.of(), 0, limit);
     QuotaAdmission.requireFits(
-        job(organisation, steps),
-        Optional.of(new JobConfiguration(1, List.of(), List.of(), 0, List.of(acme))));
+        job(organisation, steps), new JobConfiguration(1, List.of(), List.of(), 0, List.of(acme)));
   }
 
   private static SubmittedJob job(final String organisation, final StepSpec... steps) {
