Clarify names and comments of fair share, quotas and the operators' watch

EvidenceInterval computed the timeout of a watch, and Turn was a word for the waiting steps of an organisation. Several comments were incomplete or did not hold: the delay of 45 ms before a claim applies only to daemons that have run for 30 s; the accounts include organisations without jobs; the two uses of 400 ms were not explained; the order of QuotaHold matters to IdleJobs.

EvidenceInterval is now OperatorWatchTimeout, FairOrder.Turn is OrganisationSteps, Scheduler.placeInTurns is placeByShare. The comments are corrected.

Behaviour, wire names, metrics and logs are unchanged.

--- a/library/src/main/java/org/lentilsail/jobs/JobNode.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobNode.java
@@ -79,7 +79,7 @@
             context.executor(),
             context.time(),
             WATCH_INTERVAL,
-            new EvidenceInterval(context.bounds().revocation(), operatorItems.access()),
+            new OperatorWatchTimeout(context.bounds().revocation(), operatorItems.access()),
             retries);
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
@@ -34,8 +34,8 @@
   private static final long SUSPENSION_THRESHOLD_NANOS = 400_000_000L;
 
   /**
-   * Interval in ms of renewals while they fail. The other daemons claim 45 ms or more after the
-   * return of the store; the leader, which has all state, is to be earlier.
+   * Interval in ms of renewals while they fail. Daemons that have run for 30 s or more claim 45 ms
+   * or more after the return of the store; the leader, which has all state, is to be earlier.
    */
   private static final long FAILED_RENEWAL_DELAY_MILLIS = 40;
 
--- a/library/src/main/java/org/lentilsail/jobs/EvidenceInterval.java
+++ b/library/src/main/java/org/lentilsail/jobs/OperatorWatchTimeout.java
@@ -10,24 +10,24 @@
  * Determines how long a watch of the operators' items waits. Its response confirms the
  * configuration, which a daemon may use only up to an age if the bounds are strict.
  */
-final class EvidenceInterval implements Supplier<Duration> {
+final class OperatorWatchTimeout implements Supplier<Duration> {
   /** Wait while the evidence is old, so that the store responds at once after an outage. */
   private static final Duration CONFIRM_NOW = Duration.ofMillis(1);
 
   /**
-   * Time in ms beyond the wait within which a response arrives; also the pause beyond the bound on
-   * the age that is left for two waits.
+   * Time in ms allowed for responses: evidence is old beyond one wait and this time, and two waits
+   * and this time fit in the maximum age.
    */
   private static final long RESPONSE_MILLIS = 400;
 
-  /** Shortest wait in ms; a shorter one would cost more than 20 calls a second. */
+  /** Minimum wait in ms, for very short bounds; it limits the calls to 20 a second. */
   private static final long MIN_WAIT_MILLIS = 50;
 
   private final AccessControl access;
   private final boolean strict;
   private final Duration wait;
 
-  EvidenceInterval(final RevocationBounds bounds, final AccessControl access) {
+  OperatorWatchTimeout(final RevocationBounds bounds, final AccessControl access) {
     this.access = access;
     strict = bounds.strict();
     wait = strict ? strictWait(bounds) : PrefixWatcher.WATCH_TIMEOUT;
--- a/library/src/test/java/org/lentilsail/jobs/RevocationTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/RevocationTest.java
@@ -29,9 +29,9 @@
 import org.lentilsail.store.StoredItem;
 
 /**
- * Guards against a removed key that still opens a daemon after the bound. Enumerates when the link
- * to the store fails and how, when the process or its VM pauses, how its clocks run and are set,
- * and how its watches lie to the removal; each of these is tried with a request at every 50 ms.
+ * Guards against a removed key that a daemon accepts after the bound. Enumerates when the link to
+ * the store fails and how, when the process or its VM pauses, how its clocks run and are set, and
+ * how its watches lie to the removal; each of these is tried with a request at every 50 ms.
  */
 class RevocationTest {
   private static final long REVOKE_MILLIS = 5_000;
@@ -186,9 +186,9 @@
   @Test
   void boundsThatAreNotStrictLeaveTheWatchAsItWas() {
     access.configure(new JobConfiguration(1, List.of(QUEUE), List.of(), 0, List.of()));
-    final EvidenceInterval interval =
-        new EvidenceInterval(new RevocationBounds(false, 1_000), access);
-    assertThat(interval.get(), is(PrefixWatcher.WATCH_TIMEOUT));
+    final OperatorWatchTimeout timeout =
+        new OperatorWatchTimeout(new RevocationBounds(false, 1_000), access);
+    assertThat(timeout.get(), is(PrefixWatcher.WATCH_TIMEOUT));
   }
 
   /** Guards against a removed key that an earlier version brings back. */
@@ -273,7 +273,7 @@
             executor,
             clocks,
             Duration.ofMillis(5),
-            new EvidenceInterval(bounds, access),
+            new OperatorWatchTimeout(bounds, access),
             new StoreRetries(executor, clocks))
         .start();
   }
--- a/policy/src/main/java/org/lentilsail/policy/access/Caller.java
+++ b/policy/src/main/java/org/lentilsail/policy/access/Caller.java
@@ -1,7 +1,7 @@
 package org.lentilsail.policy.access;
 
 /**
- * Who makes a call, as far as the jobs that it may see depend on it.
+ * The identity of a caller, which determines the jobs that it may read and cancel.
  *
  * @param organisation name of the organisation, empty for none
  * @param seesAllJobs whether the configuration has no organisations, so that no job is hidden
--- a/policy/src/main/java/org/lentilsail/policy/job/FairOrder.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FairOrder.java
@@ -9,23 +9,23 @@
 import org.lentilsail.model.job.Resources;
 
 /**
- * Lets the organisations take turns in one scheduling pass: among steps of the same class, the next
- * one is that of the organisation with the smallest share relative to its weight. Starts change the
- * shares, so that free capacity does not all go to one organisation.
+ * Orders the waiting steps of one scheduling pass by fair share: among steps of the same class, the
+ * next one is that of the organisation with the smallest share relative to its weight. Starts
+ * change the shares, so that free capacity does not all go to one organisation.
  */
 final class FairOrder {
   /** The waiting steps of one organisation in the current class, and its share. */
-  private static final class Turn {
+  private static final class OrganisationSteps {
     private final String organisation;
     private final Deque<StepPriority.Rank> steps = new ArrayDeque<>();
     private double share;
 
-    Turn(final String organisation) {
+    OrganisationSteps(final String organisation) {
       this.organisation = organisation;
     }
 
     /** Compares by share, then by the next step. */
-    private static int compare(final Turn a, final Turn b) {
+    private static int compare(final OrganisationSteps a, final OrganisationSteps b) {
       final int byShare = Double.compare(a.share, b.share);
       return byShare == 0
           ? StepPriority.COMPARATOR.compare(a.steps.peek(), b.steps.peek())
@@ -35,8 +35,9 @@
 
   private final List<StepPriority.Rank> ranks;
   private final OrganisationShares shares;
-  private final PriorityQueue<Turn> turns = new PriorityQueue<>(Turn::compare);
-  private Turn current;
+  private final PriorityQueue<OrganisationSteps> organisations =
+      new PriorityQueue<>(OrganisationSteps::compare);
+  private OrganisationSteps current;
   private int position;
 
   /**
@@ -53,13 +54,14 @@
   /** Returns the next step, null after the last one. */
   StepPriority.Rank next() {
     if (current == null || current.steps.isEmpty()) {
-      if (turns.isEmpty()) {
+      if (organisations.isEmpty()) {
         takeClass();
       }
-      current = turns.poll();
-    } else if (!turns.isEmpty() && Turn.compare(turns.peek(), current) < 0) {
-      turns.add(current);
-      current = turns.poll();
+      current = organisations.poll();
+    } else if (!organisations.isEmpty()
+        && OrganisationSteps.compare(organisations.peek(), current) < 0) {
+      organisations.add(current);
+      current = organisations.poll();
     }
     return current == null ? null : current.steps.poll();
   }
@@ -71,18 +73,18 @@
   }
 
   private void takeClass() {
-    final Map<String, Turn> byOrganisation = new LinkedHashMap<>();
+    final Map<String, OrganisationSteps> byOrganisation = new LinkedHashMap<>();
     final int start = position;
     while (position < ranks.size()
         && StepPriority.compareClass(ranks.get(start), ranks.get(position)) == 0) {
       final StepPriority.Rank rank = ranks.get(position);
       final String organisation = rank.step().job().submitted().organisation();
-      byOrganisation.computeIfAbsent(organisation, Turn::new).steps.add(rank);
+      byOrganisation.computeIfAbsent(organisation, OrganisationSteps::new).steps.add(rank);
       position++;
     }
-    for (final Turn turn : byOrganisation.values()) {
-      turn.share = shares.share(turn.organisation);
-      turns.add(turn);
+    for (final OrganisationSteps entry : byOrganisation.values()) {
+      entry.share = shares.share(entry.organisation);
+      organisations.add(entry);
     }
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/OrganisationAccounts.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/OrganisationAccounts.java
@@ -9,7 +9,10 @@
 import org.lentilsail.model.job.Organisation;
 import org.lentilsail.model.job.Resources;
 
-/** The accounts of all organisations with jobs. Confined to the control thread. */
+/**
+ * The accounts of all organisations that are configured or have submitted a job. Confined to the
+ * control thread.
+ */
 public final class OrganisationAccounts implements OrganisationUsage {
   private final Map<String, OrganisationAccount> accounts = new LinkedHashMap<>();
   private final Map<String, Resources> limits = new HashMap<>();
--- a/policy/src/main/java/org/lentilsail/policy/job/PoolLoadCalculator.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolLoadCalculator.java
@@ -20,6 +20,7 @@
 
   /** Accumulates the load of one service. */
   private static final class LoadSum {
+    private final QuotaBudget quotas = new QuotaBudget();
     private int workers;
     private Resources capacity = Resources.NONE;
     private Resources longRunning = Resources.NONE;
@@ -29,7 +30,6 @@
     private long waitingCpu;
     private double arrivedWork;
     private int minWorkers;
-    private final QuotaBudget quotas = new QuotaBudget();
   }
 
   /**
@@ -123,6 +123,7 @@
     if (!spec.longRunning()) {
       sum.remainingWork += step.remainingWork();
     } else if (startable > 0 || waiting < step.remainingTasks()) {
+      // Needs no machines only if the quota holds back all of its tasks.
       sum.minWorkers = Math.max(sum.minWorkers, minWorkersFor(spec));
     }
     sum.waitingTasks += startable;
--- a/policy/src/main/java/org/lentilsail/policy/job/QuotaHold.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/QuotaHold.java
@@ -1,6 +1,9 @@
 package org.lentilsail.policy.job;
 
-/** Whether and why the quota of its organisation holds back a step. */
+/**
+ * Whether and why the quota of its organisation holds back a step. Of several reasons at one job
+ * the later constant is reported.
+ */
 public enum QuotaHold {
   /** The quota permits to start the step. */
   NONE,
--- a/policy/src/main/java/org/lentilsail/policy/job/RetryAfter.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RetryAfter.java
@@ -26,8 +26,8 @@
   private static final Duration LONG_OUTAGE = Duration.ofSeconds(4);
 
   /**
-   * Largest share of callers that get the longest value. The others return in each second, so that
-   * the callers of a long outage do not all return at once.
+   * Largest share of callers that get the longest value. The others get the shortest one, so that
+   * the callers of a long outage do not all return in the same second.
    */
   private static final double MAX_LONGEST_SHARE = 0.75;
 
--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -46,14 +46,14 @@
     if (jobs.configuration().organisations().isEmpty()) {
       waiting.forEach(rank -> placeStep(rank.step(), workers, now, starts));
     } else if (!waiting.isEmpty()) {
-      placeInTurns(waiting, workers, now, starts);
+      placeByShare(waiting, workers, now, starts);
     }
     placeCopies(workers, now, starts);
     return starts;
   }
 
   /** Places the steps in the order that divides the capacity between the organisations. */
-  private void placeInTurns(
+  private void placeByShare(
       final List<StepPriority.Rank> waiting,
       final Map<String, List<WorkerState>> workers,
       final long now,
--- a/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
@@ -18,6 +18,7 @@
   private final int number;
   private final StepSpec spec;
   private final List<Task> tasks;
+  private final StepPermits permits = new StepPermits();
   private int done;
 
   /**
@@ -26,7 +27,6 @@
    */
   private long heldAt = Long.MIN_VALUE / 2;
 
-  private final StepPermits permits = new StepPermits();
   private int measuredTasks;
   private long totalNanos;
 
--- a/standin/src/test/java/org/lentilsail/standin/jobs/OrganisationJobsTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/OrganisationJobsTest.java
@@ -13,10 +13,8 @@
 import org.junit.jupiter.api.Test;
 import org.lentilsail.jobs.JobNode;
 import org.lentilsail.jobs.SubmitOutcome;
-import org.lentilsail.model.job.JobSpec;
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.StepSpec;
-import org.lentilsail.model.job.SubmittedJob;
 import org.lentilsail.policy.access.Caller;
 
 /** Guards against jobs that callers of another organisation can read, cancel or take over. */
@@ -127,20 +125,7 @@
   }
 
   private SubmitOutcome submit(final String organisation, final StepSpec... steps) {
-    final JobSpec spec = new JobSpec(JOB, "work", List.of(steps), 0, 0, 0);
-    final SubmittedJob job = deployment.submitted(SimulatedDeployment.QUEUE, spec);
-    return deployment.await(
-        second
-            .jobApi()
-            .submit(
-                new SubmittedJob(
-                    job.queue(),
-                    job.service(),
-                    job.acceptedMillis(),
-                    spec,
-                    job.queueSettings(),
-                    organisation)),
-        TIMEOUT);
+    return deployment.submitFor(second, organisation, JOB, steps);
   }
 
   private Optional<JobState> state(final JobNode node, final Caller caller) {
