Document how PoolLoad counts work that a quota holds back

Quotas removed held tasks from the waiting tasks and the arrivals of a pool but not from its remaining work, which only a log line uses. The description of PoolLoad did not say so. It does now; only comments change. Compilation and checkstyle of model and policy pass.

--- a/policy/src/main/java/org/lentilsail/policy/job/PoolLoad.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolLoad.java
@@ -10,10 +10,13 @@
  * @param capacity total capacity of these workers
  * @param longRunning resources that long-running tasks reserve or wait for
  * @param batchRunning resources that runs of batch tasks reserve
- * @param remainingCoreMillis estimated remaining work of batch tasks, in core-milliseconds
- * @param waitingTasks number of tasks that are ready to start and have no worker
+ * @param remainingCoreMillis estimated remaining work of batch tasks, in core-milliseconds;
+ *     includes tasks that a quota holds back
+ * @param waitingTasks number of tasks that are ready to start and have no worker, without those
+ *     that a quota holds back
  * @param waitingCpu CPU that the batch tasks among them request, in millicores
- * @param arrivingCpu CPU needed to keep up with arriving jobs, in millicores
+ * @param arrivingCpu CPU needed to keep up with arriving jobs, in millicores; without jobs with
+ *     tasks that a quota holds back
  * @param minWorkers minimum number of workers on which all long-running tasks can be placed
  */
 public record PoolLoad(
