--- a/library/src/main/java/org/lentilsail/store/StoreRetries.java
+++ b/library/src/main/java/org/lentilsail/store/StoreRetries.java
@@ -57,10 +57,10 @@
       final TimeSource time,
       final Runnable probe,
       final Runnable returned) {
-    this.probe = probe;
+    this.probe = loggedTask("probe of the store", probe);
     this.executor = executor;
     this.time = time;
-    this.returned = returned;
+    this.returned = loggedTask("return of the store", returned);
   }
 
   /**
@@ -84,7 +84,7 @@
     executor.schedule(
         () -> {
           if (cancel(pending)) {
-            task.run();
+            pending.run();
           }
         },
         delayMillis,
