--- a/policy/src/main/java/org/lentilsail/policy/job/QuotaAdmission.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/QuotaAdmission.java
@@ -40,7 +40,7 @@
                     organisation.get().limit()),
             "request less for each task"
                 + (step.gang() ? ", use a smaller gang," : "")
-                + " or have the operator raise AtMost of the organisation (0 is no limit)");
+                + " or have the operator raise the limit of the organisation");
       }
       number++;
     }
