--- a/review/standin-3/review3/EntryCase.java
+++ b/review/standin-3/review3/EntryCase.java
@@ -16,7 +16,7 @@
   private EntryCase() {}
 
   public static void main(final String[] args) throws Exception {
-    final Record record = new Record(Path.of(args[0]), true);
+    final Record record = new Record(Path.of(args[0]), false);
     final Site site = new Site(record, 4, 64_000);
     if (Site.trouble()) {
       writeEntry(site, record);
