Keep starts that a restarted worker may have executed

Cause: a worker that starts again keeps its id, so a start that is sent before the restart is known reaches the new incarnation. RunTracker.workerRestarted dropped it with the runs of the earlier one, and its task was placed elsewhere. The second run was only looked for when the first was adopted, and only if it was running by then.

Change: a restart ends only the runs that the earlier incarnation has listed. All others wait for a report of the new one. DuplicateRuns ends a second run in any phase, at each report, also of gangs. Replies of calls that were sent before the restart was known show neither clock, stop nor end of the new incarnation. An acknowledgement that was executed is not repeated, and one whose worker did not respond is not sent, since a new incarnation would discard runs that nobody has received. A worker whose restart is known from a report gets no tasks until its own entry is known.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -164,7 +164,7 @@
   void machinesListed(final Set<String> activeWorkers, final long requestedAt) {
     for (final WorkerState worker : List.copyOf(fleet.workers())) {
       if (!worker.isResponding()
-          && worker.unresponsiveSince() < requestedAt
+          && worker.contact().unresponsiveSince() < requestedAt
           && (!worker.runs().isEmpty() || gate.isPending(worker.id()))
           && !activeWorkers.contains(worker.id())) {
         context.log().log("worker-ended", "worker", worker.id(), "runs", worker.runs().size());
--- a/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
@@ -66,6 +66,7 @@
   private void sendNext() {
     while (!session.isClosed() && inFlight < MAX_IN_FLIGHT && !queue.isEmpty()) {
       final RunCommand command = queue.poll();
+      final long sentTo = worker.entry().startTimeMillis();
       final CompletableFuture<CommandReply> reply = dispatch(command);
       if (reply != null) {
         inFlight++;
@@ -74,7 +75,7 @@
                 (received, failure) -> {
                   inFlight--;
                   if (!session.isClosed()) {
-                    session.guarded(() -> handleReply(command, received));
+                    session.guarded(() -> handleReply(command, received, sentTo));
                     sendNext();
                   }
                 }),
@@ -130,24 +131,31 @@
                 run.task().step().permits().validPermit(worker, now)));
   }
 
-  private void handleReply(final RunCommand command, final CommandReply reply) {
+  /**
+   * Handles the reply to a command. The reply does not tell which incarnation of the worker sent
+   * it, so one to a command that was sent before a restart became known shows neither the clock of
+   * the present incarnation nor that this one has executed a stop.
+   */
+  private void handleReply(final RunCommand command, final CommandReply reply, final long sentTo) {
     final long now = context.time().nanos();
-    if (reply.clockMillis() >= 0 && reply.result() != CommandResult.GONE) {
+    final boolean restarted = !session.isCurrentIncarnation(sentTo);
+    if (reply.clockMillis() >= 0 && reply.result() != CommandResult.GONE && !restarted) {
       worker.clock().recordReading(reply.clockMillis(), now);
     }
     if (reply.result() == CommandResult.FENCED) {
       callbacks.fenced();
     }
     if (command instanceof RunCommand.Start) {
-      handleStartReply(command.run(), reply, now);
+      handleStartReply(command.run(), reply, restarted, now);
     } else if (command instanceof RunCommand.Stop) {
-      handleStopReply(command, reply, now);
+      handleStopReply(command, reply, restarted, now);
     } else if (reply.result() != CommandResult.DONE) {
       context.log().log("pace-failed", "worker", worker.id(), "answer", reply.result());
     }
   }
 
-  private void handleStartReply(final TaskRun run, final CommandReply reply, final long now) {
+  private void handleStartReply(
+      final TaskRun run, final CommandReply reply, final boolean restarted, final long now) {
     logStart(run, reply);
     switch (reply.result()) {
       case DONE -> runTracker.startAccepted(run, now);
@@ -156,8 +164,12 @@
         session.poll();
       }
       case GONE -> {
-        runTracker.workerLost(worker, now);
-        callbacks.workerGone(worker);
+        if (restarted) {
+          runTracker.startRejected(run, now);
+        } else {
+          runTracker.workerLost(worker, now);
+          callbacks.workerGone(worker);
+        }
       }
       case NO_PERMIT -> {
         run.task().step().permits().discard(worker.id());
@@ -199,14 +211,17 @@
         reply.detail());
   }
 
-  private void handleStopReply(final RunCommand command, final CommandReply reply, final long now) {
+  private void handleStopReply(
+      final RunCommand command, final CommandReply reply, final boolean restarted, final long now) {
     final TaskRun run = command.run();
     if (run.task().step() == null) {
       return;
     }
-    if (reply.result() == CommandResult.DONE
-        || reply.result() == CommandResult.OUTDATED
-        || reply.result() == CommandResult.INVALID) {
+    final boolean executed =
+        reply.result() == CommandResult.DONE
+            || reply.result() == CommandResult.OUTDATED
+            || reply.result() == CommandResult.INVALID;
+    if (executed && !restarted) {
       runTracker.stopAccepted(run, now);
       session.poll();
     } else if (worker.runs().contains(run)) {
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -36,6 +36,17 @@
   /** Delay in ms between polls while finished runs wait to be persisted. */
   private static final long PERSISTING_DELAY_MILLIS = 300;
 
+  /**
+   * A poll in flight.
+   *
+   * @param number number of the poll in this session
+   * @param sentAt monotonic time in ns at which it was sent
+   * @param sentTo start of the incarnation that was known when it was sent, in ms since the Unix
+   *     epoch
+   * @param acknowledged sequence number of the last finished run that it acknowledges, 0 for none
+   */
+  private record SentPoll(int number, long sentAt, long sentTo, long acknowledged) {}
+
   private final ControlContext context;
   private final WorkerState worker;
   private final RunTracker runTracker;
@@ -104,6 +115,10 @@
       leaseExpiryMillis = worker.clock().estimate(sentAt) + leaseMillis();
       worker.leaseExpiry(leaseExpiryMillis);
     }
+    // A worker that did not respond may have started again since, see FinishedRuns.
+    final long acknowledged =
+        worker.isResponding() ? worker.finishedRuns().pendingAcknowledgement() : 0;
+    final long sentTo = worker.entry().startTimeMillis();
     final long waitMillis =
         !clockKnown
                 || persisting
@@ -112,12 +127,14 @@
             : worker.runs().isEmpty() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
     context
         .workers()
-        .poll(
-            worker.entry(),
-            new PollRequest(
-                leaseExpiryMillis, token(), worker.finishedRuns().lastPersisted(), waitMillis))
+        .poll(worker.entry(), new PollRequest(leaseExpiryMillis, token(), acknowledged, waitMillis))
         .whenCompleteAsync(
-            logged((reply, failure) -> guarded(() -> handleReply(pollNumber, reply, sentAt))),
+            logged(
+                (reply, failure) ->
+                    guarded(
+                        () ->
+                            handleReply(
+                                reply, new SentPoll(pollNumber, sentAt, sentTo, acknowledged)))),
             context.executor());
   }
 
@@ -164,17 +181,17 @@
     return latest;
   }
 
-  private void handleReply(final int pollNumber, final PollReply reply, final long sentAt) {
+  private void handleReply(final PollReply reply, final SentPoll poll) {
     if (closed) {
       return;
     }
     final long now = context.time().nanos();
     if (reply.result() == CommandResult.DONE && reply.report().isPresent()) {
-      applyReport(reply.report().get(), sentAt, now);
+      applyReport(reply.report().get(), poll, now);
     } else {
-      handleFailure(reply, now);
+      handleFailure(reply, poll, now);
     }
-    if (pollNumber == pollCount) {
+    if (poll.number() == pollCount) {
       schedulePoll(reply.result() == CommandResult.DONE);
     }
   }
@@ -199,17 +216,20 @@
     }
   }
 
-  private void applyReport(final WorkerReport report, final long sentAt, final long now) {
+  private void applyReport(final WorkerReport report, final SentPoll poll, final long now) {
     if (!isCurrentIncarnation(report, now)) {
       return;
     }
+    if (isCurrentIncarnation(poll.sentTo())) {
+      worker.finishedRuns().markAcknowledged(poll.acknowledged());
+    }
     if (!worker.isSynced()) {
       recordLongestEarlierLease(report);
     }
     final boolean wasResponding = worker.isResponding();
     final long receivedBefore = worker.finishedRuns().lastReceived();
     final boolean mustPersist =
-        runTracker.applyReport(worker, report, sentAt, now, context.time().wallMillis());
+        runTracker.applyReport(worker, report, poll.sentAt(), now, context.time().wallMillis());
     if (!wasResponding) {
       context.log().log(
           "worker-answers", "worker", worker.id(), "running", report.running().size());
@@ -262,11 +282,16 @@
       return false;
     }
     context.log().log("worker-reborn", "worker", worker.id(), "born", report.startTimeMillis());
-    worker.entry(worker.entry().withStartTime(report.startTimeMillis()));
+    worker.restartedBeforeEntry(report.startTimeMillis());
     resetIncarnation(now);
     return true;
   }
 
+  /** Returns whether a call was sent to the incarnation that is known now. */
+  boolean isCurrentIncarnation(final long sentTo) {
+    return sentTo == worker.entry().startTimeMillis();
+  }
+
   /** Called when the registry shows a later start time of the worker. */
   void workerRestarted() {
     resetIncarnation(context.time().nanos());
@@ -279,7 +304,7 @@
    * persisted. The numbers of another incarnation begin anew.
    */
   private void runsPersisted(final long startTime, final long sequence) {
-    if (closed || startTime != worker.entry().startTimeMillis()) {
+    if (closed || !isCurrentIncarnation(startTime)) {
       return;
     }
     persisting = lastToPersist > sequence;
@@ -291,8 +316,8 @@
     }
   }
 
-  private void handleFailure(final PollReply reply, final long now) {
-    if (reply.result() == CommandResult.GONE) {
+  private void handleFailure(final PollReply reply, final SentPoll poll, final long now) {
+    if (reply.result() == CommandResult.GONE && isCurrentIncarnation(poll.sentTo())) {
       context.log().log("worker-gone", "worker", worker.id(), "reason", reply.detail());
       runTracker.workerLost(worker, now);
       callbacks.workerResolved(worker);
@@ -307,7 +332,7 @@
   /** Marks the worker as unresponsive after a failed call. */
   void callFailed(final String reason) {
     final boolean wasResponding = worker.isResponding();
-    worker.markUnresponsive(context.time().nanos());
+    worker.contact().markUnresponsive(context.time().nanos());
     if (wasResponding) {
       context.log().log("worker-silent", "worker", worker.id(), "reason", reason);
     }
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -88,6 +88,24 @@
     executor.advance(Duration.ofMillis(400));
   }
 
+  /** Fails the last poll as a worker does that cannot be reached, and lets the session retry. */
+  void failPoll(final CommandResult result) {
+    workers.lastReply.complete(new PollReply(result, Optional.empty(), "no reply"));
+    executor.advance(Duration.ofMillis(400));
+  }
+
+  /** Replies to the last command. */
+  void replyToCommand(final CommandResult result, final long clockMillis) {
+    workers.lastCommand.complete(new CommandReply(result, clockMillis, ""));
+    executor.advance(Duration.ofMillis(300));
+  }
+
+  /** Shows the session a later start time of the worker, as the registry does. */
+  void restartWorker(final long startTimeMillis) {
+    worker.entry(worker.entry().withStartTime(startTimeMillis));
+    session.workerRestarted();
+  }
+
   private ControlContext context() {
     return new ControlContext(
         null,
@@ -105,20 +123,25 @@
   /** Records commands and polls. */
   static final class RecordingWorkers implements WorkerClient {
     int starts;
+    int stops;
     PollRequest lastPoll;
+    CompletableFuture<CommandReply> lastCommand;
     private CompletableFuture<PollReply> lastReply;
 
     @Override
     public CompletableFuture<CommandReply> start(
         final WorkerEntry target, final StartCommand command) {
       starts++;
-      return new CompletableFuture<>();
+      lastCommand = new CompletableFuture<>();
+      return lastCommand;
     }
 
     @Override
     public CompletableFuture<CommandReply> stop(
         final WorkerEntry target, final TaskId task, final int run, final long token) {
-      return new CompletableFuture<>();
+      stops++;
+      lastCommand = new CompletableFuture<>();
+      return lastCommand;
     }
 
     @Override
--- a/library/src/test/java/org/lentilsail/jobs/WorkerSessionTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/WorkerSessionTest.java
@@ -11,6 +11,7 @@
 import org.lentilsail.policy.job.RunOutcome;
 import org.lentilsail.policy.job.TaskRun;
 import org.lentilsail.policy.job.WorkerReport;
+import org.lentilsail.worker.CommandResult;
 
 /** Guards against finished runs that are acknowledged never, or before they were received. */
 class WorkerSessionTest {
@@ -69,6 +70,36 @@
     assertThat(acknowledged(), is(1L));
   }
 
+  /**
+   * A restarted worker that has not been noticed yet would discard finished runs that were never
+   * received, and their tasks would run again (found with review/8).
+   */
+  @Test
+  void executedAcknowledgementIsNotRepeated() {
+    persist();
+    reply(FIRST_START);
+    assertThat(acknowledged(), is(0L));
+  }
+
+  @Test
+  void workerThatDidNotRespondGetsNoAcknowledgement() {
+    persist();
+    fixture.failPoll(CommandResult.UNKNOWN);
+    assertThat(acknowledged(), is(0L));
+    reply(FIRST_START, finished(1, first, RunOutcome.DONE));
+    assertThat(acknowledged(), is(1L));
+  }
+
+  /** A restarted worker may have other labels and another capacity than its registry entry. */
+  @Test
+  void workerGetsNoTasksUntilEntryOfItsPresentIncarnationIsKnown() {
+    assertThat(fixture.worker.isAvailable(fixture.time.nanos()), is(true));
+    reply(SECOND_START);
+    assertThat(fixture.worker.isAvailable(fixture.time.nanos()), is(false));
+    fixture.worker.entry(fixture.worker.entry());
+    assertThat(fixture.worker.isAvailable(fixture.time.nanos()), is(true));
+  }
+
   private long acknowledged() {
     return fixture.workers.lastPoll.acknowledgedSequence();
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
@@ -67,11 +67,11 @@
     if (task.step().spec().longRunning()) {
       stopGangOf(task, finished);
     } else {
-      taskDone(task, wallMillis);
+      taskDone(task, finished, wallMillis);
     }
   }
 
-  private void taskDone(final Task task, final long wallMillis) {
+  private void taskDone(final Task task, final FinishedRun finished, final long wallMillis) {
     final JobRun job = task.step().job();
     if (task.isDone() || job.state().isFinal()) {
       return;
@@ -83,6 +83,7 @@
           job.completeTask(member, wallMillis);
         }
       }
+      stopOtherRunsOfGang(task.step(), finished.run());
     } else {
       job.completeTask(task, wallMillis);
       List.copyOf(task.runs())
@@ -91,6 +92,15 @@
     jobs.retire(job);
   }
 
+  /** Stops the runs of a gang that is done; the members of the run that is done end themselves. */
+  private void stopOtherRunsOfGang(final StepRun step, final int number) {
+    for (final Task member : step.tasks()) {
+      List.copyOf(member.runs()).stream()
+          .filter(run -> run.number() != number)
+          .forEach(run -> tracker.stop(run, "another run of the gang is done"));
+    }
+  }
+
   private void taskFailed(
       final WorkerState worker,
       final Task task,
--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRuns.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRuns.java
@@ -14,6 +14,7 @@
   private final NavigableMap<Long, TaskId> unpersisted = new TreeMap<>();
   private long lastReceived;
   private long lastPersisted;
+  private long lastAcknowledged;
 
   /**
    * Returns the last received finished run.
@@ -43,6 +44,26 @@
     unpersisted.headMap(sequence, true).clear();
   }
 
+  /**
+   * Returns what has to be acknowledged. An acknowledgement that the worker has executed is not
+   * repeated: another incarnation of the worker, which numbers its finished runs anew, would
+   * discard runs that were never received.
+   *
+   * @return sequence number of the last finished run to discard, 0 if there is nothing to discard
+   */
+  public long pendingAcknowledgement() {
+    return lastPersisted > lastAcknowledged ? lastPersisted : 0;
+  }
+
+  /**
+   * Records that the worker has executed an acknowledgement.
+   *
+   * @param sequence sequence number that it has discarded its finished runs up to
+   */
+  public void markAcknowledged(final long sequence) {
+    lastAcknowledged = Math.max(lastAcknowledged, sequence);
+  }
+
   /**
    * Returns whether the effect of all received finished runs is persisted.
    *
@@ -70,6 +91,7 @@
   void clear() {
     lastReceived = 0;
     lastPersisted = 0;
+    lastAcknowledged = 0;
     unpersisted.clear();
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -14,6 +14,7 @@
   private final List<RunCommand> commands = new ArrayList<>();
   private final RunNumbers numbers;
   private final FinishedRunProcessor finishedRuns;
+  private final DuplicateRuns duplicates;
 
   /**
    * Creates a tracker.
@@ -25,6 +26,7 @@
     this.jobs = jobs;
     this.numbers = numbers;
     this.finishedRuns = new FinishedRunProcessor(jobs, this);
+    this.duplicates = new DuplicateRuns(this);
   }
 
   /**
@@ -149,7 +151,7 @@
       final long now,
       final long wallMillis) {
     worker.clock().recordReading(report.clockMillis(), now);
-    worker.responding(true);
+    worker.contact().markResponding();
     boolean mustPersist = false;
     for (final FinishedRun finished : report.finished()) {
       if (finished.sequence() > worker.finishedRuns().lastReceived()) {
@@ -176,26 +178,39 @@
    * @param now monotonic time in ns
    */
   public void workerLost(final WorkerState worker, final long now) {
-    for (final TaskRun run : List.copyOf(worker.runs())) {
-      drop(run, now);
-      final StepRun step = run.task().step();
-      if (step.spec().gang()) {
-        stopGang(step, run.number(), "another gang member was lost");
-      }
-    }
+    List.copyOf(worker.runs()).forEach(run -> runLost(run, now));
   }
 
   /**
-   * Records that a worker has restarted, which ends all its runs.
+   * Records that a worker has restarted, which ends the runs that its earlier incarnation has
+   * listed. Both incarnations have one id, so any other start may have reached the new one; only a
+   * report of that one shows whether it has the run.
    *
    * @param worker the worker
    * @param now monotonic time in ns
    */
   public void workerRestarted(final WorkerState worker, final long now) {
-    workerLost(worker, now);
+    for (final TaskRun run : List.copyOf(worker.runs())) {
+      if (run.isListed()) {
+        runLost(run, now);
+      } else {
+        run.forgetIncarnation();
+        if (run.phase() == RunPhase.STOPPING) {
+          commands.add(new RunCommand.Stop(run));
+        }
+      }
+    }
     worker.reset();
   }
 
+  private void runLost(final TaskRun run, final long now) {
+    drop(run, now);
+    final StepRun step = run.task().step();
+    if (step.spec().gang()) {
+      stopGang(step, run.number(), "another gang member was lost");
+    }
+  }
+
   private TaskRun applyActiveRun(final WorkerState worker, final ActiveRun active, final long now) {
     final Task task = jobs.taskOfRun(active.task(), now);
     if (task == null) {
@@ -204,26 +219,16 @@
     }
     TaskRun run = find(task, worker, active.run());
     if (run == null) {
-      run = adopt(task, worker, active, now);
+      run = start(task, worker, active.run(), now);
     }
     startAccepted(run, now);
+    run.markListed();
     run.recordMeasurement(active.usage(), active.cpuLimitPercent(), now);
     task.updateCheckpoint(active.checkpoint());
     if (task.isDone() || task.step().job().state().isFinal()) {
       stop(run, "its task or job has ended");
-    }
-    return run;
-  }
-
-  private TaskRun adopt(
-      final Task task, final WorkerState worker, final ActiveRun active, final long now) {
-    final TaskRun run = start(task, worker, active.run(), now);
-    final StepRun step = task.step();
-    if (task.runs().size() > 1 && !step.spec().speculative()) {
-      task.runs().stream()
-          .filter(other -> other != run)
-          .filter(other -> other.phase() == RunPhase.RUNNING)
-          .forEach(other -> stop(run.number() > other.number() ? other : run, "duplicate run"));
+    } else {
+      duplicates.stopOthers(run);
     }
     return run;
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
@@ -10,6 +10,10 @@
   private final long createdAt;
   private RunPhase phase = RunPhase.STARTING;
   private boolean begun;
+
+  /** Whether a report has listed the run, so that the incarnation that has it is known. */
+  private boolean listed;
+
   private long confirmedAt = Long.MAX_VALUE;
   private long startExpiry;
   private long unconfirmedSince;
@@ -174,6 +178,27 @@
     }
   }
 
+  /** Returns whether a report of the present incarnation of the worker has listed the run. */
+  boolean isListed() {
+    return listed;
+  }
+
+  void markListed() {
+    listed = true;
+  }
+
+  /**
+   * Forgets what the earlier incarnation of the worker has confirmed, and the expiry of the start,
+   * which is a time on the clock of that incarnation. A start that was answered is not executed a
+   * second time, so a report that lacks the run still shows that it has ended.
+   */
+  void forgetIncarnation() {
+    startExpiry = 0;
+    if (!begun) {
+      confirmedAt = Long.MAX_VALUE;
+    }
+  }
+
   long unconfirmedSince() {
     return unconfirmedSince;
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -15,12 +15,12 @@
   private final WorkerClock clock = new WorkerClock();
   private final WorkerHealth health = new WorkerHealth();
   private final FinishedRuns finishedRuns = new FinishedRuns();
+  private final WorkerContact contact = new WorkerContact();
   private final long firstSeenAt;
   private WorkerEntry entry;
   private boolean registered = true;
+  private boolean described = true;
   private boolean synced;
-  private boolean responding;
-  private long unresponsiveSince = Long.MAX_VALUE;
   private boolean cordoned;
   private boolean maintenancePending;
   private long leaseExpiry;
@@ -79,6 +79,18 @@
   public void entry(final WorkerEntry newEntry) {
     entry = newEntry;
     registered = true;
+    described = true;
+  }
+
+  /**
+   * Records that a report has shown a later incarnation than the registry. That one may have other
+   * labels and another capacity, so it gets no tasks until its own registry entry is known.
+   *
+   * @param startTimeMillis start of the incarnation in ms since the Unix epoch
+   */
+  public void restartedBeforeEntry(final long startTimeMillis) {
+    entry = entry.withStartTime(startTimeMillis);
+    described = false;
   }
 
   /**
@@ -128,37 +140,16 @@
    * @return false from the first call without a response until the next response
    */
   public boolean isResponding() {
-    return responding;
-  }
-
-  /**
-   * Records whether the worker responds.
-   *
-   * @param value whether it does
-   */
-  public void responding(final boolean value) {
-    responding = value;
-  }
-
-  /**
-   * Records that the worker did not respond to a call.
-   *
-   * @param now monotonic time in ns
-   */
-  public void markUnresponsive(final long now) {
-    if (responding || unresponsiveSince == Long.MAX_VALUE) {
-      unresponsiveSince = now;
-    }
-    responding = false;
+    return contact.isResponding();
   }
 
   /**
-   * Returns since when the worker has not responded.
+   * Returns whether calls reach the worker.
    *
-   * @return monotonic time in ns; {@code Long.MAX_VALUE} before the first call without a response
+   * @return the record of its responses
    */
-  public long unresponsiveSince() {
-    return unresponsiveSince;
+  public WorkerContact contact() {
+    return contact;
   }
 
   /**
@@ -268,13 +259,14 @@
    * Returns whether the worker can run new tasks, whatever its health.
    *
    * @param now monotonic time in ns
-   * @return whether it is registered, synced and responding, and not cordoned, draining or
-   *     suspended
+   * @return whether it is registered with its present incarnation, synced and responding, and not
+   *     cordoned, draining or suspended
    */
   public boolean isAvailable(final long now) {
     return registered
+        && described
         && synced
-        && responding
+        && contact.isResponding()
         && !cordoned
         && !entry.draining()
         && now >= suspendedUntil;
--- a/policy/src/test/java/org/lentilsail/policy/job/IdleJobsTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/IdleJobsTest.java
@@ -25,7 +25,7 @@
   @EnumSource(names = {"UNREACHABLE", "CORDONED", "SUSPENDED", "QUARANTINED", "FULL", "OTHER"})
   void namesWhatKeepsWorkerFromJob(final WorkerObstacle obstacle) {
     switch (obstacle) {
-      case UNREACHABLE -> worker.responding(false);
+      case UNREACHABLE -> worker.contact().markUnresponsive(0);
       case CORDONED -> worker.cordoned(true);
       case SUSPENDED -> worker.suspendUntil(9 * SECOND);
       case QUARANTINED -> worker.health().quarantine(0);
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -73,7 +73,7 @@
                 List.of("a", rack),
                 1),
             0);
-    worker.responding(true);
+    worker.contact().markResponding();
     worker.markSynced();
     worker.clock().recordReading(1_000, 0);
     fleet.add(worker);
--- a/policy/src/test/java/org/lentilsail/policy/job/PoolPlannerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/PoolPlannerTest.java
@@ -104,7 +104,7 @@
     fixture.submit("holds", SECOND, step(20, 16_000, 1_000));
     fixture.place(SECOND);
     for (int i = 0; i < WORKERS - 2; i++) {
-      fixture.fleet.worker("b" + i).markUnresponsive(SECOND);
+      fixture.fleet.worker("b" + i).contact().markUnresponsive(SECOND);
     }
     assertThat(plan(SECOND).size(), greaterThan(2));
   }
@@ -119,7 +119,7 @@
     for (int i = 0; i < WORKERS - 2; i++) {
       final WorkerState worker = fixture.fleet.worker("b" + i);
       worker.reset();
-      worker.responding(false);
+      worker.contact().markUnresponsive(0);
     }
     fixture.submit("holds", 0, step(14, 16_000, 1_000));
     fixture.place(0);
--- a/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
@@ -137,7 +137,7 @@
     first.tracker.workerLost(lost, SECOND);
     first.tracker.takeCommands();
     first.worker("b1", BOOKING);
-    lost.responding(false);
+    lost.contact().markUnresponsive(0);
     assertThat(first.place(2 * SECOND), hasSize(2));
 
     final TaskId member = job.steps().get(0).tasks().get(0).id();
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -191,6 +191,26 @@
     assertThat(deployment.workers.history().starts(JOB), is(1));
   }
 
+  /**
+   * Guards against tasks that run on two workers: the new incarnation of a worker has executed
+   * their starts before its entry shows that it has restarted (review/8).
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {20, 50, 100, 250, 400})
+  void entryOfRestartedWorkerDoesNotEndRunsOfItsPresentIncarnation(final int entryDelayMillis) {
+    deployment.advance(Duration.ofSeconds(3));
+    deployment.restartWorker("w1");
+    deployment.restartWorker("w2");
+    deployment.submit(second, JOB, step(2));
+    deployment.startWorker("w3");
+    deployment.advance(Duration.ofMillis(entryDelayMillis));
+    deployment.writeEntryOfRestart("w1");
+    deployment.writeEntryOfRestart("w2");
+    deployment.advance(Duration.ofSeconds(3));
+    assertThat(deployment.workers.history().starts(JOB), is(2));
+    assertThat(deployment.state(first, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
   @Test
   void startsExecutedLateDoNotRunBesideTheirReplacement() {
     deployment.workers.delayStarts(2_500);
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -180,6 +180,13 @@
     workers.start(earlier.withStartTime(earlier.startTimeMillis() + 1));
   }
 
+  /** Writes the entry of the present incarnation of a worker that was restarted once. */
+  void writeEntryOfRestart(final String id) {
+    entries.computeIfPresent(
+        id, (key, earlier) -> earlier.withStartTime(earlier.startTimeMillis() + 1));
+    writeEntry(id);
+  }
+
   /** Ends a worker and its outcomes, and starts it again under the same id, with a new entry. */
   void reviveWorker(final String id) {
     final WorkerEntry earlier = entries.get(id);
