Take a full list of finished runs for an incomplete report

RunTracker took a run beyond them for one that had ended without an outcome, and RecoveryGate released all tasks of a worker after its first report.

Change: a report says whether its lists have all runs. An incomplete one ends no run, a new leader keeps the tasks of the worker blocked, and its machine is not ended.

--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -203,6 +203,11 @@
     gate.resolved(worker.id());
   }
 
+  @Override
+  public void workerPartlyKnown(final WorkerState worker) {
+    workers.partlyKnown(worker);
+  }
+
   @Override
   public void workerGone(final WorkerState worker) {
     if (!worker.isRegistered()) {
--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -79,15 +79,22 @@
       tasks.put(entry.id(), placementsByWorker.getOrDefault(entry.id(), List.of()));
       knownWorkers.putIfAbsent(entry.id(), entry);
     }
-    final long maxLeaseNanos =
-        (long) (context.bounds().maxLeaseMillis() * LEASE_MARGIN_FACTOR * NANOS_PER_MILLI);
     placementsByWorker.keySet().stream()
         .filter(id -> !tasks.containsKey(id))
         .forEach(onWorkerRemoved);
-    gate.close(tasks, claimedAt, maxLeaseNanos);
+    gate.close(tasks, claimedAt, maxLeaseNanos());
     registry.expect(tasks.keySet());
   }
 
+  /** Keeps the tasks of a worker blocked, the lease of whose runs was renewed. */
+  void partlyKnown(final WorkerState worker) {
+    gate.prolong(worker.id(), context.time().nanos() + maxLeaseNanos());
+  }
+
+  private long maxLeaseNanos() {
+    return (long) (context.bounds().maxLeaseMillis() * LEASE_MARGIN_FACTOR * NANOS_PER_MILLI);
+  }
+
   /** Admits all known workers. */
   void open() {
     opened = true;
--- a/library/src/main/java/org/lentilsail/jobs/SessionCallbacks.java
+++ b/library/src/main/java/org/lentilsail/jobs/SessionCallbacks.java
@@ -21,6 +21,9 @@
   /** Called when the runs of a worker are known, or are known to have ended. */
   void workerResolved(WorkerState worker);
 
+  /** Called when a worker has responded and some of its runs are still not known. */
+  void workerPartlyKnown(WorkerState worker);
+
   /** Called when a worker has terminated. */
   void workerGone(WorkerState worker);
 
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -234,7 +234,11 @@
       context.log().log(
           "worker-answers", "worker", worker.id(), "running", report.running().size());
     }
-    callbacks.workerResolved(worker);
+    if (report.complete()) {
+      callbacks.workerResolved(worker);
+    } else {
+      callbacks.workerPartlyKnown(worker);
+    }
     if (mustPersist) {
       persisting = true;
       final long lastReceived = worker.finishedRuns().lastReceived();
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -183,6 +183,9 @@
     @Override
     public void workerResolved(final WorkerState worker) {}
 
+    @Override
+    public void workerPartlyKnown(final WorkerState worker) {}
+
     @Override
     public void workerGone(final WorkerState worker) {}
 
--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRuns.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRuns.java
@@ -15,6 +15,7 @@
   private long lastReceived;
   private long lastPersisted;
   private long lastAcknowledged;
+  private boolean moreToCome;
 
   /**
    * Returns the last received finished run.
@@ -65,12 +66,12 @@
   }
 
   /**
-   * Returns whether the effect of all received finished runs is persisted.
+   * Returns whether the effect of all finished runs is persisted.
    *
    * @return whether no outcome is lost if the worker ends
    */
   public boolean areAllPersisted() {
-    return lastPersisted >= lastReceived;
+    return lastPersisted >= lastReceived && !moreToCome;
   }
 
   /**
@@ -87,11 +88,21 @@
     unpersisted.put(sequence, task);
   }
 
+  /**
+   * Records whether the worker has finished runs that its last report lacks.
+   *
+   * @param value whether it may have
+   */
+  void moreToCome(final boolean value) {
+    moreToCome = value;
+  }
+
   /** Clears the finished runs of an earlier incarnation of the worker. */
   void clear() {
     lastReceived = 0;
     lastPersisted = 0;
     lastAcknowledged = 0;
+    moreToCome = false;
     unpersisted.clear();
   }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
@@ -100,6 +100,16 @@
     }
   }
 
+  /**
+   * Records that a worker has responded without showing all its runs, which it still holds.
+   *
+   * @param worker id of the worker
+   * @param expiresAt monotonic time in ns at which its lease has certainly expired
+   */
+  public void prolong(final String worker, final long expiresAt) {
+    pending.computeIfPresent(worker, (id, known) -> new Pending(known.tasks(), expiresAt));
+  }
+
   /**
    * Drops the workers whose lease has expired. They no longer block their tasks.
    *
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -166,8 +166,11 @@
         reported.add(run);
       }
     }
-    dropUnreported(worker, reported, sentAt, now);
-    worker.markSynced();
+    worker.finishedRuns().moreToCome(!report.complete());
+    if (report.complete()) {
+      dropUnreported(worker, reported, sentAt, now);
+      worker.markSynced();
+    }
     return mustPersist;
   }
 
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.lentilsail.model.job.TaskId;
@@ -35,6 +36,10 @@
   private final RunHistory history;
   private final ToLongFunction<TaskId> durations;
   private final Predicate<TaskId> failing;
+
+  /** Number of finished runs that a report lists at most. */
+  private final IntSupplier listLimit;
+
   private final Map<TaskId, Running> running = new LinkedHashMap<>();
   private final Map<TaskId, Integer> highestFinished = new HashMap<>();
   private final List<FinishedRun> unacknowledged = new ArrayList<>();
@@ -58,7 +63,9 @@
       final ScheduledExecutorService executor,
       final RunHistory history,
       final ToLongFunction<TaskId> durations,
-      final Predicate<TaskId> failing) {
+      final Predicate<TaskId> failing,
+      final IntSupplier listLimit) {
+    this.listLimit = listLimit;
     this.entry = entry;
     this.time = time;
     this.executor = executor;
@@ -152,9 +159,13 @@
   private PollReply report() {
     final List<ActiveRun> runs = new ArrayList<>();
     running.forEach((task, run) -> runs.add(new ActiveRun(task, run.run(), "", 100, 1)));
+    final int limit = listLimit.getAsInt();
+    final List<FinishedRun> listed =
+        unacknowledged.subList(0, Math.min(unacknowledged.size(), limit));
+    final boolean complete = listed.size() < limit;
     return new PollReply(
         CommandResult.DONE,
-        Optional.of(new WorkerReport(clock(), entry.startTimeMillis(), runs, unacknowledged)),
+        Optional.of(new WorkerReport(clock(), entry.startTimeMillis(), runs, listed, complete)),
         "");
   }
 
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -36,6 +36,7 @@
   private final Map<String, SimulatedWorker> workers = new HashMap<>();
   private final Set<String> cutLinks = new HashSet<>();
   private long lateStartMillis;
+  private int listLimit = Integer.MAX_VALUE;
   private Predicate<TaskId> failing = task -> false;
 
   /**
@@ -62,7 +63,14 @@
   public void start(final WorkerEntry entry) {
     workers.put(
         entry.id(),
-        new SimulatedWorker(entry, time, executor, history, durations, task -> failing.test(task)));
+        new SimulatedWorker(
+            entry,
+            time,
+            executor,
+            history,
+            durations,
+            task -> failing.test(task),
+            () -> listLimit));
   }
 
   /**
@@ -109,6 +117,15 @@
     lateStartMillis = millis;
   }
 
+  /**
+   * Limits the finished runs that a report lists; the next ones follow once these are acknowledged.
+   *
+   * @param runs number of finished runs
+   */
+  public void limitListedRuns(final int runs) {
+    listLimit = runs;
+  }
+
   /**
    * Sets which runs end as failed.
    *
--- a/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
@@ -25,6 +25,8 @@
 class HandOverTest {
   private static final String JOB = "00000000000000a1";
 
+  private static final String OTHER_JOB = "00000000000000a3";
+
   /** Job whose tasks take longer than a change of the leader. */
   private static final String SLOW_JOB = "00000000000000a2";
 
@@ -32,7 +34,7 @@
   private static final String LASTING_JOB = "1000000000000001";
 
   private static final Map<String, Long> TASK_MILLIS =
-      Map.of(JOB, 300L, SLOW_JOB, 1_500L, LASTING_JOB, 0L);
+      Map.of(JOB, 300L, OTHER_JOB, 300L, SLOW_JOB, 1_500L, LASTING_JOB, 0L);
 
   private SimulatedDeployment deployment;
   private JobNode first;
@@ -52,6 +54,33 @@
     deployment.closeAndCheckRuns();
   }
 
+  /**
+   * Guards against tasks that run again: a worker that was cut off lists only some of its finished
+   * runs at a time, and its leader, or the next one, took the others for lost (review/7).
+   */
+  @ParameterizedTest
+  @CsvSource({"1, false", "1, true", "2, false", "2, true", "3, true", "7, true"})
+  void finishedRunsBeyondOneListAreNotRepeated(final int listLimit, final boolean newLeader) {
+    deployment.workers.limitListedRuns(listLimit);
+    deployment.startMachineOf("w1");
+    deployment.submit(second, JOB, SimulatedDeployment.step(3));
+    deployment.submit(second, OTHER_JOB, SimulatedDeployment.step(3));
+    deployment.advance(Duration.ofMillis(100));
+    deployment.workers.cut("d1", "w1", true);
+    deployment.startWorker("w2");
+    deployment.advance(Duration.ofMillis(600));
+    if (newLeader) {
+      deployment.isolate("d1");
+      deployment.advance(SimulatedDeployment.FAIL_OVER);
+    } else {
+      deployment.workers.cut("d1", "w1", false);
+    }
+    deployment.advance(Duration.ofSeconds(8));
+    assertThat(deployment.workers.history().starts(JOB), is(3));
+    assertThat(deployment.workers.history().starts(OTHER_JOB), is(3));
+    assertThat(deployment.state(second, OTHER_JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
   /**
    * A machine with a confirmed command is left alone until the lease on machines has ended. The
    * first new leader recorded it as unconfirmed, so the second one left it alone for 15 s, and
