Bound what callers can make large

Cause: a leader created an object for each task of each step, and of each due occurrence, of every job that it read; one accepted job of 600 bytes had a million of them.

A leader holds 100,000 tasks and starts the rest later; a stored job that exceeds them alone is set aside with a log line. Progress above 512 KB is stored without checkpoints, then without failed runs. A worker has at most 5,000 runs. A report of a far occurrence creates only that one.

--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -27,7 +27,7 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /** Interval in ns between removals. */
+  /** Interval in ns between removals, unless more jobs have expired than one of them removes. */
   private static final long REMOVE_INTERVAL_NANOS = 5_000_000_000L;
 
   /**
@@ -56,6 +56,9 @@
   private long removedAt = Long.MIN_VALUE / 2;
   private boolean writeInFlight;
 
+  /** Whether the last removal left expired jobs, which the next tick removes. */
+  private boolean moreExpired;
+
   Housekeeping(
       final ControlContext context,
       final JobRegistry jobs,
@@ -79,7 +82,7 @@
     if (!writeInFlight && now - publishedAt >= PUBLISH_INTERVAL_NANOS) {
       publish(now);
     }
-    if (!writeInFlight && now - removedAt >= REMOVE_INTERVAL_NANOS) {
+    if (!writeInFlight && (moreExpired || now - removedAt >= REMOVE_INTERVAL_NANOS)) {
       removedAt = now;
       removeExpired();
     }
@@ -167,6 +170,7 @@
         expired.add(job.id());
       }
     }
+    moreExpired = expired.size() == MAX_REMOVE_BATCH_SIZE;
     if (expired.isEmpty()) {
       return;
     }
--- a/library/src/main/java/org/lentilsail/jobs/JobInput.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobInput.java
@@ -82,7 +82,9 @@
   private void accept(final SubmittedJob job, final boolean fromSnapshot) {
     final String id = job.spec().id();
     final long age = fromSnapshot ? context.time().wallMillis() - job.acceptedMillis() : 0;
-    jobs.accept(job, age, context.time().nanos());
+    if (jobs.accept(job, age, context.time().nanos()).isSetAside()) {
+      context.log().log("job-set-aside", "job", id, "reason", "it has too many tasks");
+    }
     final JobProgress progress = persistedProgress.remove(id);
     if (progress != null) {
       jobs.restore(id, progress, context.time().nanos());
--- a/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/ProgressWriter.java
@@ -19,6 +19,9 @@
    */
   private static final int MAX_BATCH_SIZE = (Transaction.MAX_ENTRIES - 1) / 2;
 
+  /** Maximum size in bytes of one document, below the maximum size of a value of the store. */
+  private static final int MAX_DOCUMENT_BYTES = 512 * 1024;
+
   /** Delay in ms before a failed transaction is retried. */
   private static final long RETRY_DELAY_MILLIS = 60;
 
@@ -64,12 +67,29 @@
       final JobProgress progress = job.progress();
       written.add(progress);
       transaction =
-          items.write(transaction, StoreKeys.progress(job.id()), Documents.write(progress));
+          items.write(transaction, StoreKeys.progress(job.id()), document(job.id(), progress));
     }
     writeInFlight = true;
     send(transaction, new Batch(batch, written, completedWaiters));
   }
 
+  /**
+   * Writes the progress of a job. A document that is larger than a value of the store may be would
+   * never be stored, and neither would those that share its transaction, so what can be done
+   * without is left out of it.
+   */
+  private byte[] document(final String job, final JobProgress progress) {
+    final byte[] document = Documents.write(progress);
+    if (document.length <= MAX_DOCUMENT_BYTES) {
+      return document;
+    }
+    context.log().log("progress-too-large", "job", job, "bytes", document.length);
+    final byte[] smaller = Documents.write(progress.withoutCheckpoints());
+    return smaller.length <= MAX_DOCUMENT_BYTES
+        ? smaller
+        : Documents.write(progress.withDoneTasksOnly());
+  }
+
   void close() {
     closed = true;
   }
--- a/model/src/main/java/org/lentilsail/model/job/JobSpec.java
+++ b/model/src/main/java/org/lentilsail/model/job/JobSpec.java
@@ -27,6 +27,31 @@
     steps = List.copyOf(steps);
   }
 
+  /**
+   * Returns a copy without text and steps.
+   *
+   * @return the copy
+   */
+  public JobSpec withoutContent() {
+    return new JobSpec(id, "", List.of(), maxRuns, firstRunMillis, intervalMillis);
+  }
+
+  /**
+   * Returns whether an occurrence is due.
+   *
+   * @param occurrence number of the occurrence
+   * @param wallMillis wall clock time in ms since the Unix epoch
+   * @return whether its due time has come; a job that is not scheduled is due at once
+   */
+  public boolean isDue(final int occurrence, final long wallMillis) {
+    if (!timed()) {
+      return true;
+    }
+    final long elapsed = wallMillis - firstRunMillis;
+    return elapsed >= 0
+        && (intervalMillis <= 0 || occurrence == 0 || elapsed / intervalMillis >= occurrence);
+  }
+
   /**
    * Returns whether the job is scheduled, that is, runs at due times.
    *
--- a/model/src/main/java/org/lentilsail/model/job/StepProgress.java
+++ b/model/src/main/java/org/lentilsail/model/job/StepProgress.java
@@ -37,6 +37,24 @@
     checkpoints = Map.copyOf(checkpoints);
   }
 
+  /**
+   * Returns a copy without checkpoints.
+   *
+   * @return the copy
+   */
+  public StepProgress withoutCheckpoints() {
+    return new StepProgress(occurrence, step, doneBits, failures, failedRuns, Map.of());
+  }
+
+  /**
+   * Returns a copy without checkpoints and failed runs.
+   *
+   * @return the copy
+   */
+  public StepProgress withDoneTasksOnly() {
+    return new StepProgress(occurrence, step, doneBits, Map.of(), Map.of(), Map.of());
+  }
+
   @Override
   public long[] doneBits() {
     return doneBits.clone();
--- a/model/src/main/java/org/lentilsail/model/job/SubmittedJob.java
+++ b/model/src/main/java/org/lentilsail/model/job/SubmittedJob.java
@@ -29,4 +29,14 @@
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(spec, "spec");
   }
+
+  /**
+   * Returns a copy without text and steps, which a job that has ended does not need.
+   *
+   * @return the copy
+   */
+  public SubmittedJob withoutContent() {
+    return new SubmittedJob(
+        queue, service, acceptedMillis, spec.withoutContent(), queueSettings, organisation);
+  }
 }
--- a/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/AdvicePlanner.java
@@ -63,7 +63,7 @@
       for (final StepRun step : job.steps()) {
         if (step.hasWaitingTasks()) {
           (job.isReady(step) ? ready : notReady)
-              .add(StepPriority.rank(step, jobs.isInExcess(job), now));
+              .add(StepPriority.rank(step, StepPriority.rank(job, jobs.isInExcess(job), now)));
         }
       }
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
@@ -29,7 +29,8 @@
       final WorkerState worker, final FinishedRun finished, final long now, final long wallMillis) {
     final Task task = jobs.taskOfRun(finished.task(), now);
     if (task == null) {
-      return false;
+      // Tasks of a job that has ended are dropped, perhaps before its state is persisted.
+      return jobs.job(finished.task().job()) != null;
     }
     final TaskRun run = RunTracker.find(task, worker, finished.run());
     if (run != null) {
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRegistry.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.lentilsail.model.job.JobConfiguration;
 import org.lentilsail.model.job.JobProgress;
+import org.lentilsail.model.job.JobSpec;
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.QueueSpec;
 import org.lentilsail.model.job.SubmittedJob;
@@ -31,6 +32,14 @@
 
   private final Map<String, JobRun> jobs = new LinkedHashMap<>();
   private final Set<JobRun> active = new LinkedHashSet<>();
+
+  /** Unscheduled jobs that wait for room for their tasks, in the order of their acceptance. */
+  private final Set<JobRun> deferred = new LinkedHashSet<>();
+
+  /** Jobs that have ended and may still have runs. */
+  private final Set<JobRun> ended = new LinkedHashSet<>();
+
+  private final TaskBudget budget = new TaskBudget();
   private final Set<JobRun> unsaved = new LinkedHashSet<>();
   private final OrganisationAccounts accounts = new OrganisationAccounts();
   private final ExcessJobs excess = new ExcessJobs();
@@ -69,7 +78,8 @@
   }
 
   /**
-   * Adds a job if it is not known yet. An unscheduled job starts its only occurrence at once.
+   * Adds a job if it is not known yet. An unscheduled job starts its only occurrence at once, or as
+   * soon as there is room for its tasks.
    *
    * @param submitted the job
    * @param ageMillis time since the job was accepted in ms
@@ -83,12 +93,14 @@
     }
     final long age = Math.min(Math.max(ageMillis, 0) * NANOS_PER_MILLI, MAX_AGE_NANOS);
     final OrganisationAccount account = accounts.account(submitted.organisation());
-    final JobRun job = new JobRun(submitted, queueOf(submitted), account, now - age);
+    final JobRun job = new JobRun(submitted, queueOf(submitted), account, now - age, budget);
     jobs.put(job.id(), job);
     active.add(job);
     excess.add(job);
-    if (!submitted.spec().timed()) {
-      job.startOccurrence(0, now);
+    if (!submitted.spec().timed()
+        && !job.isSetAside()
+        && (!deferred.isEmpty() || !job.startNextOccurrence(now))) {
+      deferred.add(job);
     }
     return job;
   }
@@ -105,6 +117,7 @@
     if (job != null) {
       job.restore(progress, now);
       retire(job);
+      job.dropDone();
     }
   }
 
@@ -125,23 +138,40 @@
   }
 
   /**
-   * Starts the occurrences of scheduled jobs that are due.
+   * Drops what is done, and starts the occurrences that are due as far as there is room for their
+   * tasks.
    *
    * @param wallMillis wall clock time in ms since the Unix epoch
    * @param now monotonic time in ns
    */
   public void startDueOccurrences(final long wallMillis, final long now) {
+    ended.forEach(JobRun::dropDone);
+    ended.removeIf(job -> !job.activity().hasRuns());
+    startDeferred(now);
     for (final JobRun job : active) {
-      final var spec = job.submitted().spec();
-      while (!job.state().isFinal()
-          && spec.timed()
-          && job.nextOccurrence() < spec.maxRuns()
-          && spec.firstRunMillis() + job.nextOccurrence() * spec.intervalMillis() <= wallMillis) {
-        job.startOccurrence(job.nextOccurrence(), now);
+      final JobSpec spec = job.submitted().spec();
+      if (spec.timed()) {
+        job.dropDone();
+        boolean hasRoom = true;
+        while (hasRoom
+            && job.occurrences().next() < spec.maxRuns()
+            && spec.isDue(job.occurrences().next(), wallMillis)) {
+          hasRoom = job.startNextOccurrence(now);
+        }
       }
     }
   }
 
+  /** Starts the jobs that have waited for room, in the order of their acceptance. */
+  private void startDeferred(final long now) {
+    deferred.removeIf(
+        job -> job.state().isFinal() || job.isSetAside() || job.occurrences().next() > 0);
+    final var waiting = deferred.iterator();
+    while (waiting.hasNext() && waiting.next().startNextOccurrence(now)) {
+      waiting.remove();
+    }
+  }
+
   /**
    * Finds a job.
    *
@@ -165,7 +195,7 @@
     if (job == null) {
       return null;
     }
-    job.startOccurrencesUpTo(id.occurrence(), now);
+    job.startReportedOccurrence(id.occurrence(), now);
     return job.task(id);
   }
 
@@ -246,6 +276,8 @@
     if (job != null) {
       active.remove(job);
       unsaved.remove(job);
+      deferred.remove(job);
+      ended.remove(job);
       excess.remove(job);
     }
   }
@@ -257,8 +289,8 @@
   }
 
   void retire(final JobRun job) {
-    if (job.state().isFinal()) {
-      active.remove(job);
+    if (job.state().isFinal() && active.remove(job)) {
+      ended.add(job);
     }
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/JobRun.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import org.lentilsail.model.job.JobProgress;
 import org.lentilsail.model.job.JobState;
 import org.lentilsail.model.job.QueueSpec;
@@ -17,25 +15,27 @@
 public final class JobRun {
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  private final SubmittedJob submitted;
   private final OrganisationAccount account;
   private final long arrivedAt;
   private final long criticalPathMillis;
-  private final Map<Integer, List<StepRun>> occurrences = new TreeMap<>();
+  private final long taskCount;
+  private final Occurrences occurrences;
   private final JobActivity activity = new JobActivity();
+  private SubmittedJob submitted;
   private QueueSpec queue;
   private JobState state = JobState.PENDING;
   private long finishedMillis;
-  private int nextOccurrence;
-  private int occurrencesDone;
   private boolean started;
 
   JobRun(
       final SubmittedJob submitted,
       final QueueSpec queue,
       final OrganisationAccount account,
-      final long arrivedAt) {
+      final long arrivedAt,
+      final TaskBudget budget) {
     this.submitted = submitted;
+    this.taskCount = Occurrences.taskCount(submitted.spec());
+    this.occurrences = new Occurrences(this, budget);
     this.account = account;
     this.queue = queue;
     this.arrivedAt = arrivedAt;
@@ -55,7 +55,7 @@
   /**
    * Returns the submission that was accepted.
    *
-   * @return the submission
+   * @return the submission; without text and steps once the job has ended
    */
   public SubmittedJob submitted() {
     return submitted;
@@ -108,14 +108,12 @@
   }
 
   /**
-   * Returns the steps of all occurrences that have started.
+   * Returns the steps of all occurrences that have started and are not dropped.
    *
    * @return the steps, ordered by occurrence and step number
    */
   public List<StepRun> steps() {
-    final List<StepRun> all = new ArrayList<>();
-    occurrences.values().forEach(all::addAll);
-    return all;
+    return occurrences.steps();
   }
 
   /**
@@ -125,7 +123,7 @@
    * @return whether the tasks of the step may start
    */
   public boolean isReady(final StepRun step) {
-    final List<StepRun> siblings = occurrences.get(step.occurrence());
+    final List<StepRun> siblings = occurrences.stepsOf(step.occurrence());
     for (final int dependency : step.spec().after()) {
       if (!siblings.get(dependency).isDone()) {
         return false;
@@ -141,7 +139,7 @@
    * @return the task, null if the job has no such task or its occurrence has not started
    */
   public Task task(final TaskId id) {
-    final List<StepRun> steps = occurrences.get(id.occurrence());
+    final List<StepRun> steps = occurrences.stepsOf(id.occurrence());
     if (steps == null || id.step() < 0 || id.step() >= steps.size()) {
       return null;
     }
@@ -157,7 +155,7 @@
    */
   public long remainingCriticalPathMillis() {
     long longest = 0;
-    for (final List<StepRun> steps : occurrences.values()) {
+    for (final List<StepRun> steps : occurrences.all()) {
       longest =
           Math.max(
               longest,
@@ -175,7 +173,7 @@
    */
   public double remainingWork() {
     double work = 0;
-    for (final List<StepRun> steps : occurrences.values()) {
+    for (final List<StepRun> steps : occurrences.all()) {
       for (final StepRun step : steps) {
         work += step.remainingWork();
       }
@@ -202,11 +200,12 @@
   public JobProgress progress() {
     final List<StepProgress> persisted = new ArrayList<>();
     if (!state.isFinal()) {
-      for (final List<StepRun> steps : occurrences.values()) {
+      for (final List<StepRun> steps : occurrences.all()) {
         steps.forEach(step -> step.progress().ifPresent(persisted::add));
       }
     }
-    return new JobProgress(state, finishedMillis, persisted, submitted.organisation());
+    return new JobProgress(
+        state, finishedMillis, persisted, submitted.organisation(), occurrences.dropped());
   }
 
   /**
@@ -227,40 +226,65 @@
     queue = newQueue;
   }
 
-  void startOccurrence(final int occurrence, final long now) {
-    final List<StepRun> steps = new ArrayList<>();
-    final List<StepSpec> specs = submitted.spec().steps();
-    for (int i = 0; i < specs.size(); i++) {
-      steps.add(new StepRun(this, occurrence, i, specs.get(i), now));
-    }
-    if (occurrencesDone == occurrences.size()) {
-      activity.restartWait(now);
+  Occurrences occurrences() {
+    return occurrences;
+  }
+
+  /**
+   * Starts the next occurrence if there is room for its tasks.
+   *
+   * @return whether it has started
+   */
+  boolean startNextOccurrence(final long now) {
+    if (isSetAside() || !occurrences.mayStartNext()) {
+      return false;
     }
-    occurrences.put(occurrence, steps);
-    nextOccurrence = Math.max(nextOccurrence, occurrence + 1);
+    occurrences.start(occurrences.next(), now);
+    return true;
   }
 
-  /** Starts an occurrence and all earlier ones, as far as the job has them and they have not. */
-  void startOccurrencesUpTo(final int occurrence, final long now) {
-    while (nextOccurrence <= occurrence && hasOccurrence(occurrence)) {
-      startOccurrence(nextOccurrence, now);
+  /** Starts the occurrence of a run that was reported, if the job has it. */
+  void startReportedOccurrence(final int occurrence, final long now) {
+    if (hasOccurrence(occurrence) && !state.isFinal() && !isSetAside()) {
+      occurrences.start(occurrence, now);
     }
   }
 
-  int nextOccurrence() {
-    return nextOccurrence;
+  /**
+   * Returns whether the job has more tasks than the leader can hold. None of them starts; an
+   * earlier version has accepted the job, or another writer has stored it.
+   *
+   * @return whether the job is left alone
+   */
+  public boolean isSetAside() {
+    return taskCount > TaskBudget.MAX_TASKS;
+  }
+
+  /** Drops what is not needed any more; of a job that has ended, all but its state. */
+  void dropDone() {
+    if (!state.isFinal()) {
+      occurrences.dropDone();
+    } else if (!activity.hasRuns()) {
+      occurrences.dropAll();
+      submitted = submitted.withoutContent();
+    }
   }
 
   void restore(final JobProgress progress, final long now) {
     if (progress.state() != JobState.PENDING) {
       markRunning();
     }
+    occurrences.restoreDropped(progress.droppedOccurrences());
     for (final StepProgress persisted : progress.steps()) {
-      if (!hasStep(persisted)) {
+      if (isSetAside() || !hasStep(persisted)) {
+        continue;
+      }
+      occurrences.start(persisted.occurrence(), now);
+      final List<StepRun> steps = occurrences.stepsOf(persisted.occurrence());
+      if (steps == null) {
         continue;
       }
-      startOccurrencesUpTo(persisted.occurrence(), now);
-      final StepRun step = occurrences.get(persisted.occurrence()).get(persisted.step());
+      final StepRun step = steps.get(persisted.step());
       final BitSet bits = BitSet.valueOf(persisted.doneBits());
       for (final Task task : step.tasks()) {
         final int index = task.id().index();
@@ -272,11 +296,7 @@
       }
       step.recount();
     }
-    occurrencesDone =
-        (int)
-            occurrences.values().stream()
-                .filter(steps -> steps.stream().allMatch(StepRun::isDone))
-                .count();
+    occurrences.recount();
     if (progress.state().isFinal()) {
       finish(progress.state(), progress.finishedMillis());
     }
@@ -309,11 +329,9 @@
     if (!step.isDone()) {
       return;
     }
-    if (occurrences.get(step.occurrence()).stream().allMatch(StepRun::isDone)) {
-      occurrencesDone++;
-      if (occurrencesDone >= Math.max(1, submitted.spec().maxRuns())) {
-        finish(JobState.COMPLETED, wallMillis);
-      }
+    if (occurrences.recordStepDone(step)
+        && occurrences.done() >= Math.max(1, submitted.spec().maxRuns())) {
+      finish(JobState.COMPLETED, wallMillis);
     }
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -118,10 +118,13 @@
   List<StepPriority.Rank> waiting(final long now) {
     final List<StepPriority.Rank> ranks = new ArrayList<>();
     for (final JobRun job : jobs.active()) {
-      final boolean inExcess = jobs.isInExcess(job);
+      StepPriority.JobRank jobRank = null;
       for (final StepRun step : job.steps()) {
         if (!step.isDone() && job.isReady(step) && step.hasWaitingTasks()) {
-          ranks.add(StepPriority.rank(step, inExcess, now));
+          if (jobRank == null) {
+            jobRank = StepPriority.rank(job, jobs.isInExcess(job), now);
+          }
+          ranks.add(StepPriority.rank(step, jobRank));
         }
       }
     }
--- a/policy/src/main/java/org/lentilsail/policy/job/StepPriority.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/StepPriority.java
@@ -40,22 +40,41 @@
 
   private StepPriority() {}
 
+  /**
+   * What all steps of a job have in common.
+   *
+   * @param lateness 0 if the latency objective can be met, 1 if it can and the job is in excess, 2
+   *     if it can no longer be met
+   * @param remainingWork estimated remaining work in core-milliseconds
+   */
+  record JobRank(int lateness, double remainingWork) {}
+
+  /**
+   * Returns the part of the sort key that all steps of a job have in common.
+   *
+   * @param job the job
+   * @param inExcess whether it was submitted beyond the weight of its organisation
+   * @param now monotonic time in ns
+   */
+  static JobRank rank(final JobRun job, final boolean inExcess, final long now) {
+    return new JobRank(lateness(job, inExcess, now), job.remainingWork());
+  }
+
   /**
    * Returns the sort key of a step.
    *
    * @param step the step
-   * @param inExcess whether its job was submitted beyond the weight of its organisation
-   * @param now monotonic time in ns
+   * @param jobRank what it has in common with the other steps of its job
    */
-  static Rank rank(final StepRun step, final boolean inExcess, final long now) {
+  static Rank rank(final StepRun step, final JobRank jobRank) {
     final JobRun job = step.job();
     final boolean longRunning = step.spec().longRunning();
     return new Rank(
         step,
         longRunning ? (step.spec().fills() ? 1 : 0) : 2,
         job.queue().priority(),
-        longRunning ? ON_TIME : lateness(job, inExcess, now),
-        longRunning ? 0 : job.remainingWork(),
+        longRunning ? ON_TIME : jobRank.lateness(),
+        longRunning ? 0 : jobRank.remainingWork(),
         job.arrivedAt());
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/StepRun.java
@@ -149,7 +149,12 @@
 
   /** Returns whether a task of the step is waiting for a worker. */
   boolean hasWaitingTasks() {
-    return waitingTaskCount() > 0;
+    for (final Task task : tasks) {
+      if (task.isWaiting()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the number of tasks that are waiting for a worker. */
--- a/policy/src/main/java/org/lentilsail/policy/job/Task.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Task.java
@@ -13,7 +13,7 @@
   private final StepRun step;
   private final List<TaskRun> runs = new ArrayList<>(1);
   private boolean done;
-  private final Set<Integer> failedRuns = new TreeSet<>();
+  private Set<Integer> failedRuns = Set.of();
 
   /** Failed runs of which only the count was persisted, by an earlier version. */
   private int unnumberedFailures;
@@ -159,7 +159,11 @@
   boolean recordFailure(final int run, final String worker, final long now) {
     lastFailedWorker = worker;
     failedAt = now;
-    return !step.spec().longRunning() && failedRuns.add(run);
+    if (step.spec().longRunning() || failedRuns.contains(run)) {
+      return false;
+    }
+    failedRuns = new TreeSet<>(failedRuns);
+    return failedRuns.add(run);
   }
 
   void restore(
@@ -168,8 +172,7 @@
       final Collection<Integer> numberedFailures,
       final String savedCheckpoint) {
     done = wasDone;
-    failedRuns.clear();
-    failedRuns.addAll(numberedFailures);
+    failedRuns = numberedFailures.isEmpty() ? Set.of() : new TreeSet<>(numberedFailures);
     unnumberedFailures = Math.max(0, failures - failedRuns.size());
     checkpoint = savedCheckpoint;
   }
--- /dev/null
+++ b/policy/src/main/java/org/lentilsail/policy/job/TaskBudget.java
@@ -0,0 +1,25 @@
+package org.lentilsail.policy.job;
+
+/**
+ * Limits the tasks that the leader holds in memory, of all started occurrences of all jobs. Work
+ * beyond the limit starts when other work is done. Confined to the control thread.
+ */
+final class TaskBudget {
+  /** Maximum number of tasks; some 25 MB. */
+  static final int MAX_TASKS = 100_000;
+
+  private long tasks;
+
+  /** Returns whether a number of tasks can be added now. */
+  boolean hasRoom(final long count) {
+    return tasks + count <= MAX_TASKS;
+  }
+
+  void add(final long count) {
+    tasks += count;
+  }
+
+  void subtract(final long count) {
+    tasks -= count;
+  }
+}
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -11,6 +11,9 @@
 
 /** State of one incarnation of a worker, with its runs; confined to the control thread. */
 public final class WorkerState {
+  /** Maximum number of runs, so that a report of them stays below 0.5 MB. */
+  static final int MAX_RUNS = 5_000;
+
   private final List<TaskRun> runs = new ArrayList<>();
   private final WorkerClock clock = new WorkerClock();
   private final WorkerHealth health = new WorkerHealth();
@@ -265,6 +268,7 @@
   public boolean isAvailable(final long now) {
     return registered
         && described
+        && runs.size() < MAX_RUNS
         && synced
         && contact.isResponding()
         && !cordoned
--- a/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
@@ -74,7 +74,7 @@
     first.submit("holds", 0, step(1, 1_000, 900));
     final StepProgress earlier = new StepProgress(0, 0, new long[0], Map.of(0, 1), null, Map.of());
 
-    final JobRun restored = takeOver(new JobProgress(JobState.RUNNING, 0, List.of(earlier), ""));
+    final JobRun restored = takeOver(new JobProgress(JobState.RUNNING, 0, List.of(earlier), "", 0));
 
     assertThat(failures(restored), is(1));
     fail(second, restored, SECOND_RUN);
@@ -119,7 +119,7 @@
     final StepProgress earlier =
         new StepProgress(0, 0, new long[] {1}, Map.of(), Map.of(), Map.of());
 
-    second.jobs.restore(job.id(), new JobProgress(JobState.RUNNING, 0, List.of(earlier), ""), 0);
+    second.jobs.restore(job.id(), new JobProgress(JobState.RUNNING, 0, List.of(earlier), "", 0), 0);
 
     assertThat(second.place(0), hasSize(1));
   }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SpoiledItemsTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SpoiledItemsTest.java
@@ -4,16 +4,23 @@
 import static org.hamcrest.Matchers.is;
 import static org.lentilsail.standin.jobs.SimulatedDeployment.step;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.lentilsail.jobs.JobNode;
+import org.lentilsail.jobs.SubmitOutcome;
+import org.lentilsail.model.job.JobSpec;
 import org.lentilsail.model.job.JobState;
+import org.lentilsail.model.job.SubmittedJob;
 
 /**
  * Guards against a leader that never opens, or that ends, because another writer has spoiled an
@@ -40,6 +47,34 @@
     deployment.closeAndCheckRuns();
   }
 
+  /**
+   * Guards against a stored job that ends each leader that reads it, and so keeps all others from
+   * running (review/6). Callers are refused such a job; an earlier version accepted it.
+   */
+  @Test
+  void nextLeaderSetsAsideJobThatIsTooLarge() {
+    final String large = "00000000000000b1";
+    final JobSpec spec =
+        new JobSpec(large, "work", Collections.nCopies(30, step(100_000)), 0, 0, 0);
+    deployment.store.put("in/" + large + "/s", json(deployment.submitted("holds", spec)));
+    deployment.advance(Duration.ofMillis(500));
+    first.resign();
+    deployment.advance(Duration.ofMillis(500));
+    deployment.submit(second, JOB, step(2));
+    deployment.advance(Duration.ofSeconds(8));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+    assertThat(deployment.state(second, large), is(Optional.of(JobState.PENDING)));
+    assertThat(deployment.cancel(second, large), is(SubmitOutcome.ACCEPTED));
+  }
+
+  private static byte[] json(final SubmittedJob job) {
+    try {
+      return new ObjectMapper().writeValueAsBytes(job);
+    } catch (final JsonProcessingException error) {
+      throw new IllegalStateException(error);
+    }
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
