Make the answer that there is no such job sure before it is given

Cause: a cancellation of a job that the store does not have wrote nothing, so a submission without an answer could still be executed after it.

Change: that cancellation is written under the condition that there is no submission, and a submission is written under the condition that there is no cancellation. A submission after such a cancellation gets 410.

--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -41,6 +41,7 @@
 
   private final ControlContext context;
   private final JobRegistry jobs;
+  private final CancelledIds cancelledIds;
   private final Fleet fleet;
   private final LeaderItems items;
   private final QuotaReport quotas;
@@ -62,6 +63,7 @@
   Housekeeping(
       final ControlContext context,
       final JobRegistry jobs,
+      final CancelledIds cancelledIds,
       final Fleet fleet,
       final LeaderItems items) {
     this.items = items;
@@ -69,6 +71,7 @@
     this.context = context;
     this.fleet = fleet;
     this.jobs = jobs;
+    this.cancelledIds = cancelledIds;
   }
 
   void tick(final long now) {
@@ -172,6 +175,7 @@
     }
     moreExpired = expired.size() == MAX_REMOVE_BATCH_SIZE;
     if (expired.isEmpty()) {
+      removeCancellations(cancelledIds.before(finishedBefore, MAX_REMOVE_BATCH_SIZE));
       return;
     }
     Transaction transaction = items.newTransaction();
@@ -185,6 +189,24 @@
     commit(transaction, () -> forget(expired));
   }
 
+  /** Removes cancellations of jobs that were never accepted. */
+  private void removeCancellations(final List<String> ids) {
+    if (ids.isEmpty()) {
+      return;
+    }
+    moreExpired = ids.size() == MAX_REMOVE_BATCH_SIZE;
+    Transaction transaction = items.newTransaction();
+    for (final String id : ids) {
+      final String key = StoreKeys.cancellation(id);
+      transaction =
+          transaction
+              .requireRevision(StoreKeys.submission(id), 0)
+              .requireRevision(key, cancelledIds.revision(id))
+              .remove(key);
+    }
+    commit(transaction, () -> ids.forEach(cancelledIds::remove));
+  }
+
   private void forget(final List<String> ids) {
     for (final String id : ids) {
       jobs.remove(id);
--- a/library/src/main/java/org/lentilsail/jobs/JobApi.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobApi.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -17,7 +18,6 @@
 import org.lentilsail.store.KeyValueStore;
 import org.lentilsail.store.StoredItem;
 import org.lentilsail.store.Transaction;
-import org.lentilsail.store.TransactionResult;
 
 /**
  * Operations that callers can perform on jobs, identical on every daemon: submit, query the state,
@@ -124,10 +124,10 @@
     return store
         .range(StoreKeys.INPUT + id + '/', "")
         .thenComposeAsync(
-            page ->
-                isVisible(id, page.items(), caller)
-                    ? cancelKnown(id, keys(page.items()))
-                    : CompletableFuture.completedFuture(SubmitOutcome.NOT_FOUND),
+            page -> {
+              availability.recordSuccess();
+              return cancelStored(id, caller, page.items());
+            },
             executor)
         .exceptionally(failure -> SubmitOutcome.NOT_ACCEPTED)
         .thenApply(
@@ -230,28 +230,62 @@
         .allMatch(item -> caller.sees(Documents.organisation(item)));
   }
 
-  private CompletableFuture<SubmitOutcome> cancelKnown(final String id, final Set<String> keys) {
-    availability.recordSuccess();
-    if (!keys.contains(StoreKeys.submission(id))) {
+  private CompletableFuture<SubmitOutcome> cancelStored(
+      final String id, final Caller caller, final List<StoredItem> items) {
+    final Set<String> keys = keys(items);
+    final boolean submitted = keys.contains(StoreKeys.submission(id));
+    if (!isVisible(id, items, caller)) {
       return CompletableFuture.completedFuture(SubmitOutcome.NOT_FOUND);
     }
     if (keys.contains(StoreKeys.cancellation(id))) {
-      return CompletableFuture.completedFuture(SubmitOutcome.ACCEPTED);
+      return CompletableFuture.completedFuture(
+          submitted ? SubmitOutcome.ACCEPTED : SubmitOutcome.NOT_FOUND);
     }
+    return submitted ? cancelSubmitted(id) : cancelUnknown(id, caller);
+  }
+
+  /**
+   * Makes sure that a job that the store does not have is never accepted: the write of a submission
+   * whose outcome is unknown may still be on its way, and it requires that there is no
+   * cancellation.
+   */
+  private CompletableFuture<SubmitOutcome> cancelUnknown(final String id, final Caller caller) {
     final String key = StoreKeys.cancellation(id);
     return store
         .commit(
             Transaction.empty()
+                .requireRevision(StoreKeys.submission(id), 0)
                 .requireRevision(key, 0)
                 .write(key, Documents.write(time.wallMillis()), 0))
-        .handle(JobApi::cancelOutcome);
+        .handleAsync(
+            (result, failure) -> {
+              if (failure != null) {
+                return CompletableFuture.completedFuture(failedCancelOutcome(failure));
+              }
+              if (result.applied()) {
+                return CompletableFuture.completedFuture(SubmitOutcome.NOT_FOUND);
+              }
+              return result.currentItems().isEmpty()
+                  ? CompletableFuture.completedFuture(SubmitOutcome.UNKNOWN)
+                  : cancelStored(id, caller, result.currentItems());
+            },
+            executor)
+        .thenCompose(outcome -> outcome);
   }
 
-  private static SubmitOutcome cancelOutcome(
-      final TransactionResult result, final Throwable failure) {
-    if (failure == null) {
-      return SubmitOutcome.ACCEPTED;
-    }
+  private CompletableFuture<SubmitOutcome> cancelSubmitted(final String id) {
+    final String key = StoreKeys.cancellation(id);
+    return store
+        .commit(
+            Transaction.empty()
+                .requireRevision(key, 0)
+                .write(key, Documents.write(time.wallMillis()), 0))
+        .handle(
+            (result, failure) ->
+                failure == null ? SubmitOutcome.ACCEPTED : failedCancelOutcome(failure));
+  }
+
+  private static SubmitOutcome failedCancelOutcome(final Throwable failure) {
     return SubmissionWriter.isOutcomeUnknown(failure)
         ? SubmitOutcome.UNKNOWN
         : SubmitOutcome.NOT_ACCEPTED;
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -51,6 +51,7 @@
   private final JobRegistry jobs = new JobRegistry();
   private final Fleet fleet = new Fleet();
   private final RecoveryGate gate = new RecoveryGate();
+  private final CancelledIds cancelledIds = new CancelledIds();
   private final JobInput input;
   private final HeldListener heldInput;
   private final HeldListener heldRegistry;
@@ -116,8 +117,8 @@
             this::stateChanged,
             workers::workerEnded,
             workers::machinesListed);
-    housekeeping = new Housekeeping(context, jobs, fleet, items);
-    input = new JobInput(context, jobs, runTracker, this::inputLoaded, this::stateChanged);
+    housekeeping = new Housekeeping(context, jobs, cancelledIds, fleet, items);
+    input = createInput();
     heldInput = new HeldListener(input);
     heldRegistry = new HeldListener(workers.registry());
     inputWatcher = watcher(StoreKeys.INPUT, heldInput, INPUT_WATCH_INTERVAL);
@@ -126,6 +127,11 @@
     jobs.configuration(configuration);
   }
 
+  private JobInput createInput() {
+    return new JobInput(
+        context, jobs, runTracker, cancelledIds, this::inputLoaded, this::stateChanged);
+  }
+
   private PrefixWatcher watcher(
       final String prefix, final PrefixListener listener, final Duration interval) {
     return new PrefixWatcher(
--- a/library/src/main/java/org/lentilsail/jobs/JobInput.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobInput.java
@@ -1,10 +1,8 @@
 package org.lentilsail.jobs;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.JobProgress;
 import org.lentilsail.model.job.SubmittedJob;
@@ -26,17 +24,19 @@
   private final Runnable loaded;
   private final Runnable stateChanged;
   private final Map<String, JobProgress> persistedProgress = new HashMap<>();
-  private final Set<String> pendingCancellations = new HashSet<>();
+  private final CancelledIds cancelledIds;
 
   JobInput(
       final ControlContext context,
       final JobRegistry jobs,
       final RunTracker runTracker,
+      final CancelledIds cancelledIds,
       final Runnable loaded,
       final Runnable stateChanged) {
     this.context = context;
     this.jobs = jobs;
     this.runTracker = runTracker;
+    this.cancelledIds = cancelledIds;
     this.loaded = loaded;
     this.stateChanged = stateChanged;
   }
@@ -71,7 +71,7 @@
   private void applyItem(final StoredItem item, final boolean fromSnapshot) {
     final String id = StoreKeys.inputId(item.key());
     if (StoreKeys.isCancellation(item.key())) {
-      cancel(id);
+      cancel(id, item);
     } else if (jobs.job(id) == null) {
       Documents.<SubmittedJob>read(Documents.SUBMISSION, item)
           .filter(job -> job.spec().id().equals(id))
@@ -89,16 +89,20 @@
     if (progress != null) {
       jobs.restore(id, progress, context.time().nanos());
     }
-    if (pendingCancellations.remove(id)) {
+    if (cancelledIds.remove(id)) {
       cancel(id);
     }
   }
 
-  private void cancel(final String id) {
+  private void cancel(final String id, final StoredItem item) {
     if (jobs.job(id) == null) {
-      pendingCancellations.add(id);
-      return;
+      cancelledIds.add(id, item, context.time().wallMillis());
+    } else {
+      cancel(id);
     }
+  }
+
+  private void cancel(final String id) {
     final JobRun job = jobs.cancel(id, context.time().wallMillis());
     if (job != null) {
       runTracker.stopAll(job, "the job was cancelled");
--- a/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/SubmissionWriter.java
@@ -25,12 +25,13 @@
 /**
  * Persists submitted jobs before they are confirmed to the caller. Jobs that arrive while
  * transactions are in flight share the next one. Each write requires that the item of the job does
- * not exist, so repeated submissions of an id, through any daemon, create a single job. Confined to
- * the control thread; {@link #submit} may be called from any thread.
+ * not exist, so repeated submissions of an id, through any daemon, create a single job; and that no
+ * cancellation of it exists, so one that is executed late creates none after a caller was told that
+ * there is none. Confined to the control thread; {@link #submit} may be called from any thread.
  */
 public final class SubmissionWriter {
-  /** Maximum number of jobs in one transaction: a precondition and a write for each. */
-  private static final int MAX_BATCH_SIZE = Transaction.MAX_ENTRIES / 2;
+  /** Maximum number of jobs in one transaction: two preconditions and a write for each. */
+  private static final int MAX_BATCH_SIZE = Transaction.MAX_ENTRIES / 3;
 
   /** Maximum number of transactions in flight. */
   private static final int MAX_IN_FLIGHT = 4;
@@ -53,6 +54,10 @@
     String key() {
       return StoreKeys.submission(job.spec().id());
     }
+
+    String cancellationKey() {
+      return StoreKeys.cancellation(job.spec().id());
+    }
   }
 
   /**
@@ -128,6 +133,7 @@
       transaction =
           transaction
               .requireRevision(pending.key(), 0)
+              .requireRevision(pending.cancellationKey(), 0)
               .write(pending.key(), Documents.write(pending.job()), 0);
     }
     store
@@ -158,6 +164,8 @@
         complete(pending, SubmitOutcome.ACCEPTED, "stored at revision " + result.revision());
       } else if (present.containsKey(pending.key())) {
         completePresent(pending, present.get(pending.key()), "accepted before");
+      } else if (present.containsKey(pending.cancellationKey())) {
+        complete(pending, SubmitOutcome.NOT_FOUND, "cancelled before it was accepted");
       } else if (present.isEmpty()) {
         complete(
             pending,
--- a/library/src/test/java/org/lentilsail/jobs/StoredProgressTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/StoredProgressTest.java
@@ -93,7 +93,8 @@
       jobs.accept(submitted("" + i), 0, 0);
       jobs.restore(id("" + i), new JobProgress(JobState.COMPLETED, 1, List.of(), "", 0), 0);
     }
-    final Housekeeping housekeeping = new Housekeeping(context(), jobs, new Fleet(), items);
+    final Housekeeping housekeeping =
+        new Housekeeping(context(), jobs, new CancelledIds(), new Fleet(), items);
     for (int tick = 0; tick < 50; tick++) {
       housekeeping.tick(time.nanos());
       executor.advance(Duration.ofMillis(100));
