Take a claim for confirmed only if both of its items are read back

A daemon could lead in a term that it did not have: after a claim without an answer it read back its leader item and the term item one by one, and took the revision of the term item for its own even if another daemon had claimed the next term in between. All that it wrote then passed the condition on the term; finished runs whose progress the leader of that term had read before were acknowledged, and their tasks run again.

--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -269,7 +269,7 @@
             logged(
                 (result, failure) -> {
                   if (failure != null) {
-                    readBack(granted, sentAt, termNumber, claimId);
+                    readBack(granted, sentAt, document, claimId);
                   } else {
                     handleClaimResult(result, granted, sentAt, termNumber);
                   }
@@ -292,15 +292,19 @@
   }
 
   private void readBack(
-      final GrantedLease granted, final long sentAt, final long termNumber, final String claimId) {
+      final GrantedLease granted,
+      final long sentAt,
+      final TermDocument document,
+      final String claimId) {
     store
         .get(StoreKeys.LEADER)
         .thenCombine(store.get(StoreKeys.TERM), ClaimItems::new)
         .whenCompleteAsync(
             logged(
                 (claimed, failure) -> {
-                  if (failure == null && claimed.hasClaimId(claimId)) {
-                    claimSucceeded(granted, sentAt, termNumber, claimed.term().get().revision());
+                  if (failure == null && claimed.areOf(claimId, document)) {
+                    claimSucceeded(
+                        granted, sentAt, document.term(), claimed.term().get().revision());
                   } else {
                     lease.discard(granted);
                     claimFailed("the claim was not confirmed");
--- a/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/RunHistory.java
@@ -10,6 +10,7 @@
 
 /** Records the runs of simulated workers and detects tasks that run twice. */
 public final class RunHistory {
+  private final List<String> events = new ArrayList<>();
   private final Map<String, Map<TaskId, Set<Integer>>> running = new HashMap<>();
   private final Set<TaskId> done = new HashSet<>();
   private final Set<TaskId> lostOutcomes = new HashSet<>();
@@ -18,7 +19,8 @@
   private final Map<TaskId, Long> lastEnds = new HashMap<>();
   private final List<String> violations = new ArrayList<>();
 
-  void started(final TaskId task, final int run, final long nanos) {
+  void started(final TaskId task, final int run, final String worker, final long nanos) {
+    record(task, run, "started on " + worker, nanos);
     if (done.contains(task) && !lostOutcomes.contains(task)) {
       violations.add(
           task.text() + " run " + run + " started after the task had completed, at " + nanos);
@@ -38,7 +40,13 @@
     starts.merge(task, 1, Integer::sum);
   }
 
-  void ended(final TaskId task, final int run, final boolean success, final long nanos) {
+  void ended(
+      final TaskId task,
+      final int run,
+      final boolean success,
+      final String worker,
+      final long nanos) {
+    record(task, run, (success ? "done on " : "ended on ") + worker, nanos);
     runs(task).remove(run);
     lastEnds.put(task, nanos);
     if (success && !done.add(task) && !lostOutcomes.remove(task)) {
@@ -177,6 +185,19 @@
     return lastEnds.getOrDefault(task, 0L);
   }
 
+  private void record(final TaskId task, final int run, final String event, final long nanos) {
+    events.add(nanos / 1_000_000 + " ms " + task.text() + " run " + run + ' ' + event);
+  }
+
+  /**
+   * Returns the starts and ends of all runs.
+   *
+   * @return one line each, in order of time
+   */
+  public List<String> events() {
+    return List.copyOf(events);
+  }
+
   private Set<Integer> runs(final TaskId task) {
     return running
         .computeIfAbsent(task.job(), job -> new HashMap<>())
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -92,7 +92,7 @@
 
   void crash() {
     alive = false;
-    running.forEach((task, run) -> history.ended(task, run.run(), false, now()));
+    running.forEach((task, run) -> history.ended(task, run.run(), false, entry.id(), now()));
     running.clear();
   }
 
@@ -172,7 +172,7 @@
   private void startRun(final TaskId task, final int run) {
     final Running started = new Running(run, now());
     running.put(task, started);
-    history.started(task, run, now());
+    history.started(task, run, entry.id(), now());
     final long duration = durations.applyAsLong(task);
     if (duration > 0) {
       executor.schedule(() -> complete(task, started), duration, TimeUnit.MILLISECONDS);
@@ -190,7 +190,7 @@
     highestFinished.merge(task, run.run(), Math::max);
     lastSequence++;
     unacknowledged.add(new FinishedRun(lastSequence, task, run.run(), outcome, ""));
-    history.ended(task, run.run(), outcome == RunOutcome.DONE, now());
+    history.ended(task, run.run(), outcome == RunOutcome.DONE, entry.id(), now());
     if (outcome == RunOutcome.FAILED) {
       history.failed(task);
     }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
@@ -2,7 +2,10 @@
 
 import static org.lentilsail.standin.jobs.SimulatedDeployment.QUEUE;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -61,6 +64,15 @@
     deployment.workers.failWhen(this::fails);
   }
 
+  /** Writes the runs and the logs of the daemons to files. */
+  void writeTrace(final Path folder) throws IOException {
+    Files.createDirectories(folder);
+    Files.write(folder.resolve("runs.txt"), deployment.workers.history().events());
+    for (final Map.Entry<String, String> log : deployment.logTexts().entrySet()) {
+      Files.writeString(folder.resolve(log.getKey() + ".log"), log.getValue());
+    }
+  }
+
   List<String> violations() {
     return List.copyOf(violations);
   }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobLifeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobLifeTest.java
@@ -4,6 +4,8 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -22,9 +24,12 @@
 
   @ParameterizedTest
   @MethodSource("seeds")
-  void acceptedJobsKeepTheirStateAndEnd(final long seed) {
+  void acceptedJobsKeepTheirStateAndEnd(final long seed) throws IOException {
     final JobLife life = new JobLife(seed);
     life.play();
+    if (!life.violations().isEmpty()) {
+      life.writeTrace(Path.of("target", "job-life", "seed-" + seed));
+    }
     assertThat(life.violations(), is(empty()));
   }
 }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -5,7 +5,7 @@
 import static org.hamcrest.Matchers.is;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -94,6 +94,7 @@
   private final Map<String, WorkerEntry> entries = new HashMap<>();
   private final Map<String, JobNode> nodes = new LinkedHashMap<>();
   private final List<DecisionLog> logs = new ArrayList<>();
+  private final Map<String, ByteArrayOutputStream> logTexts = new LinkedHashMap<>();
   private List<Organisation> organisations = List.of();
 
   SimulatedDeployment(final ToLongFunction<TaskId> durations) {
@@ -129,8 +130,11 @@
 
   /** Starts a daemon on a VM with the given CPU capacity in millicores. */
   JobNode startNode(final String daemon, final long cpuMillis) {
-    final DecisionLog log = new DecisionLog(time, new PrintStream(OutputStream.nullOutputStream()));
+    final ByteArrayOutputStream text = new ByteArrayOutputStream();
+    final DecisionLog log =
+        new DecisionLog(time, new PrintStream(text, false, StandardCharsets.UTF_8));
     logs.add(log);
+    logTexts.put(daemon, text);
     final JobNode node =
         new JobNode(
             new ControlContext(
@@ -294,6 +298,13 @@
     logs.forEach(DecisionLog::close);
   }
 
+  /** Returns the log of each daemon, whole after {@link #close}. */
+  Map<String, String> logTexts() {
+    final Map<String, String> texts = new LinkedHashMap<>();
+    logTexts.forEach((daemon, text) -> texts.put(daemon, text.toString(StandardCharsets.UTF_8)));
+    return texts;
+  }
+
   /** Closes the deployment and asserts that no task ran twice. */
   void closeAndCheckRuns() {
     close();
