Remove cancellations one by one when one of them has changed

A cancellation beside a spoiled submission cannot be removed under its condition, and kept the others of its transaction in the store, which were tried again and again.

Test: CancelUnknownJobTest.cancellationOfSpoiledSubmissionDoesNotHoldUpOthers.

--- a/library/src/main/java/org/lentilsail/jobs/CancelledIds.java
+++ b/library/src/main/java/org/lentilsail/jobs/CancelledIds.java
@@ -34,6 +34,14 @@
     return cancellations.get(id).revision();
   }
 
+  /** Puts off the removal of an id whose items have changed. */
+  void postpone(final String id, final long wallMillis) {
+    final Cancellation changed = cancellations.remove(id);
+    if (changed != null) {
+      cancellations.put(id, new Cancellation(changed.revision(), wallMillis));
+    }
+  }
+
   /** Returns ids that were cancelled before a time in ms since the Unix epoch. */
   List<String> before(final long wallMillis, final int limit) {
     return cancellations.entrySet().stream()
--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -60,6 +60,8 @@
   /** Whether the last removal left expired jobs, which the next tick removes. */
   private boolean moreExpired;
 
+  private int cancellationBatchSize = MAX_REMOVE_BATCH_SIZE;
+
   Housekeeping(
       final ControlContext context,
       final JobRegistry jobs,
@@ -175,7 +177,7 @@
     }
     moreExpired = expired.size() == MAX_REMOVE_BATCH_SIZE;
     if (expired.isEmpty()) {
-      removeCancellations(cancelledIds.before(finishedBefore, MAX_REMOVE_BATCH_SIZE));
+      removeCancellations(cancelledIds.before(finishedBefore, cancellationBatchSize));
       return;
     }
     Transaction transaction = items.newTransaction();
@@ -194,7 +196,7 @@
     if (ids.isEmpty()) {
       return;
     }
-    moreExpired = ids.size() == MAX_REMOVE_BATCH_SIZE;
+    moreExpired = ids.size() == cancellationBatchSize;
     Transaction transaction = items.newTransaction();
     for (final String id : ids) {
       final String key = StoreKeys.cancellation(id);
@@ -204,7 +206,22 @@
               .requireRevision(key, cancelledIds.revision(id))
               .remove(key);
     }
-    commit(transaction, () -> ids.forEach(cancelledIds::remove));
+    commit(
+        transaction,
+        () -> {
+          ids.forEach(cancelledIds::remove);
+          cancellationBatchSize = MAX_REMOVE_BATCH_SIZE;
+        },
+        () -> cancellationsChanged(ids));
+  }
+
+  /** Finds the cancellation whose items have changed by removing them one by one. */
+  private void cancellationsChanged(final List<String> ids) {
+    if (ids.size() == 1) {
+      cancelledIds.postpone(ids.get(0), context.time().wallMillis());
+    }
+    cancellationBatchSize = 1;
+    moreExpired = true;
   }
 
   private void forget(final List<String> ids) {
@@ -215,6 +232,11 @@
   }
 
   private void commit(final Transaction transaction, final Runnable onApplied) {
+    commit(transaction, onApplied, () -> {});
+  }
+
+  private void commit(
+      final Transaction transaction, final Runnable onApplied, final Runnable onConflict) {
     writeInFlight = true;
     items.commit(
         context,
@@ -224,6 +246,8 @@
           writeInFlight = false;
           if (outcome == LeaderItems.WriteOutcome.APPLIED) {
             onApplied.run();
+          } else if (outcome == LeaderItems.WriteOutcome.CONFLICT) {
+            onConflict.run();
           }
         });
   }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/CancelUnknownJobTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/CancelUnknownJobTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.lentilsail.standin.jobs.SimulatedDeployment.longRunning;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -117,6 +118,22 @@
         is(expected));
   }
 
+  /** Guards against a spoiled submission that keeps all cancellations in the store for good. */
+  @Test
+  void cancellationOfSpoiledSubmissionDoesNotHoldUpOthers() {
+    final byte[] spoiled = "spoiled".getBytes(StandardCharsets.UTF_8);
+    for (int i = 0; i < 12; i++) {
+      final String id = String.format("20000000000000%02d", i);
+      deployment.store.put("in/" + id + "/s", spoiled);
+      deployment.store.put("in/" + id + "/x", spoiled);
+    }
+    deployment.advance(Duration.ofSeconds(1));
+    deployment.cancel(first, JOB);
+    deployment.advance(Duration.ofSeconds(200));
+    assertThat(deployment.store.get("in/" + JOB + "/x").isPresent(), is(false));
+    assertThat(deployment.store.get("in/2000000000000000/x").isPresent(), is(true));
+  }
+
   @Test
   void cancellationIsRemovedOnceNoSubmissionCanBeLate() {
     deployment.cancel(first, JOB);
