--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -98,10 +98,14 @@
 
   /** Crashes and loses the outcomes of the finished runs that have not been acknowledged. */
   void fail() {
+    loseOutcomes();
+    crash();
+  }
+
+  private void loseOutcomes() {
     unacknowledged.stream()
         .filter(run -> run.outcome() == RunOutcome.DONE)
         .forEach(run -> history.outcomeLost(run.task()));
-    crash();
   }
 
   CommandReply start(final StartCommand command) {
@@ -203,8 +207,13 @@
     executor.schedule(this::expire, Math.max(1, leaseExpiry - clock() + 1), TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Ends all runs once the lease has expired. Tasks that have finished since their worker last had
+   * a leader may run again: what a worker reports after its lease has expired comes too late.
+   */
   private void expire() {
     if (alive && clock() > leaseExpiry) {
+      loseOutcomes();
       List.copyOf(running.entrySet())
           .forEach(run -> finishRun(run.getKey(), run.getValue(), RunOutcome.EXPIRED));
     }
