Keep one worker that cannot be called from holding up the others

Cause: a call to an address of IPv6 threw an exception in place of failing. It left the loop over the new members of the roster, and at the next leader LeaderWorkers.open, so that the workers after it were never admitted.

Change: such a call fails like any other, addresses of IPv6 are written in brackets, and the loops over members, known workers and sessions go on after one that fails.

--- a/library/src/main/java/org/lentilsail/http/UndertowHttpCaller.java
+++ b/library/src/main/java/org/lentilsail/http/UndertowHttpCaller.java
@@ -6,7 +6,9 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.URI;
+import java.net.URISyntaxException;
 import java.util.concurrent.CompletableFuture;
 import org.lentilsail.model.time.TimeSource;
 import org.xnio.IoUtils;
@@ -53,9 +55,17 @@
     buffers.close();
   }
 
+  /** Connects to the target. The call fails if its address cannot be used, like any other call. */
   private void connect(final HttpCall call, final CallInProgress progress) {
-    final URI uri =
-        URI.create("http://" + call.target().getHostString() + ":" + call.target().getPort());
+    try {
+      connect(uri(call.target()), progress);
+    } catch (final URISyntaxException | IllegalArgumentException error) {
+      progress.fail(
+          HttpFailure.CONNECT, "cannot connect to " + call.target() + ": " + error.getMessage());
+    }
+  }
+
+  private void connect(final URI uri, final CallInProgress progress) {
     UndertowClient.getInstance()
         .connect(
             new ClientCallback<>() {
@@ -78,4 +88,9 @@
             buffers,
             OPTIONS);
   }
+
+  /** Returns the URI of a target, with an address of IPv6 in brackets. */
+  private static URI uri(final InetSocketAddress target) throws URISyntaxException {
+    return new URI("http", null, target.getHostString(), target.getPort(), null, null, null);
+  }
 }
--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.policy.job.Fleet;
@@ -98,12 +99,12 @@
   /** Admits all known workers. */
   void open() {
     opened = true;
-    List.copyOf(knownWorkers.values()).forEach(roster::admit);
+    Callbacks.forEach("known worker", List.copyOf(knownWorkers.values()), roster::admit);
   }
 
   /** Polls all workers at once, in addition to polls that wait there. */
   void pollAll() {
-    sessions.values().forEach(WorkerSession::poll);
+    Callbacks.forEach("worker session", sessions.values(), WorkerSession::poll);
   }
 
   void close() {
@@ -115,7 +116,8 @@
   void tick(final long now) {
     gate.expire(now);
     registry.tick(now);
-    List.copyOf(sessions.values()).forEach(session -> session.tick(now));
+    Callbacks.forEach(
+        "worker session", List.copyOf(sessions.values()), session -> session.tick(now));
     List.copyOf(fleet.workers()).forEach(this::removeWhenIdle);
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.WorkerEntry;
 
 /**
@@ -100,7 +101,7 @@
       final LeaderItems.WriteOutcome outcome, final List<String> newMembers) {
     switch (outcome) {
       case APPLIED -> {
-        newMembers.forEach(this::admitPersisted);
+        Callbacks.forEach("roster member", newMembers, this::admitPersisted);
         write();
       }
       case SUPERSEDED -> superseded.run();
--- a/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
+++ b/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lentilsail.model.time.TimeSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -49,6 +50,20 @@
     worker.shutdownNow();
   }
 
+  /**
+   * Guards against an exception in place of a failed call: the leader lost all workers after the
+   * one whose entry had such an address (review/10).
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"::1", "127.0.0.1", "no host", "", "[", "a_b"})
+  void callToAddressThatCannotBeUsedFails(final String host) {
+    final InetSocketAddress unused = InetSocketAddress.createUnresolved(host, 1);
+
+    final CompletableFuture<HttpResponse> response = caller.call(get(unused, 2_000));
+
+    assertThrows(ExecutionException.class, response::get);
+  }
+
   @Test
   void reusesTheConnectionAfterCompleteResponse() throws Exception {
     try (RawServer server =
--- a/library/src/test/java/org/lentilsail/jobs/RosterTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/RosterTest.java
@@ -32,11 +32,7 @@
   private final List<CompletableFuture<TransactionResult>> commits = new ArrayList<>();
   private final List<String> admitted = new ArrayList<>();
   private final Roster roster =
-      new Roster(
-          context(),
-          new LeaderItems(new Term(1, 1)),
-          entry -> admitted.add(entry.id() + '@' + entry.address().getPort()),
-          () -> {});
+      new Roster(context(), new LeaderItems(new Term(1, 1)), this::recordAdmission, () -> {});
 
   /**
    * Guards against a worker that gets tasks although the roster lacks it: its registry entry
@@ -72,6 +68,25 @@
     assertThat(admitted, is(List.of("w1@8001")));
   }
 
+  /** Guards against sound workers that are never admitted after one that fails (review/10). */
+  @Test
+  void membersAfterOneThatFailsAreAdmitted() {
+    roster.admit(entry("odd", 8_000));
+    roster.admit(entry("w1", 8_001));
+    applied(0);
+    roster.admit(entry("w2", 8_002));
+    applied(1);
+    applied(2);
+    assertThat(admitted, is(List.of("w1@8001", "w2@8002")));
+  }
+
+  private void recordAdmission(final WorkerEntry entry) {
+    if (entry.id().equals("odd")) {
+      throw new IllegalArgumentException("hostname can't be null");
+    }
+    admitted.add(entry.id() + '@' + entry.address().getPort());
+  }
+
   private void fail(final int commit) {
     commits.get(commit).completeExceptionally(new IllegalStateException("no response"));
     executor.advance(AFTER_RETRY_DELAY);
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -37,6 +37,7 @@
   private final Set<String> cutLinks = new HashSet<>();
   private long lateStartMillis;
   private int listLimit = Integer.MAX_VALUE;
+  private String unusable = "";
   private Predicate<TaskId> failing = task -> false;
 
   /**
@@ -126,6 +127,15 @@
     listLimit = runs;
   }
 
+  /**
+   * Lets each poll of a worker throw, as a client does that cannot use its address.
+   *
+   * @param id id of the worker
+   */
+  public void makeUnusable(final String id) {
+    unusable = id;
+  }
+
   /**
    * Sets which runs end as failed.
    *
@@ -222,6 +232,9 @@
 
     @Override
     public CompletableFuture<PollReply> poll(final WorkerEntry worker, final PollRequest request) {
+      if (worker.id().equals(unusable)) {
+        throw new IllegalArgumentException("the address of " + worker.id() + " cannot be used");
+      }
       return call(
           worker,
           target -> target.poll(request),
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SpoiledItemsTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SpoiledItemsTest.java
@@ -67,6 +67,28 @@
     assertThat(deployment.cancel(second, large), is(SubmitOutcome.ACCEPTED));
   }
 
+  /**
+   * Guards against sound workers that get no work because of one whose address cannot be used, and
+   * against a leader that never opens because of it (review/10).
+   */
+  @ParameterizedTest
+  @CsvSource({"a-odd, false", "a-odd, true", "x-odd, false", "x-odd, true"})
+  void workerThatCannotBeUsedDoesNotHoldUpOthers(final String odd, final boolean newLeader) {
+    deployment.workers.makeUnusable(odd);
+    deployment.startWorker(odd);
+    for (int i = 0; i < 8; i++) {
+      deployment.startWorker("m" + i);
+    }
+    deployment.advance(Duration.ofSeconds(1));
+    if (newLeader) {
+      first.resign();
+      deployment.advance(Duration.ofMillis(500));
+    }
+    deployment.submitScheduled(second, JOB, Duration.ofMillis(500), step(60));
+    deployment.advance(Duration.ofSeconds(8));
+    assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
   private static byte[] json(final SubmittedJob job) {
     try {
       return new ObjectMapper().writeValueAsBytes(job);
