--- a/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/HandOverTest.java
@@ -27,6 +27,8 @@
 
   private static final String OTHER_JOB = "00000000000000a3";
 
+  private static final String SHORT_JOB = "00000000000000a4";
+
   /** Job whose tasks take longer than a change of the leader. */
   private static final String SLOW_JOB = "00000000000000a2";
 
@@ -34,7 +36,7 @@
   private static final String LASTING_JOB = "1000000000000001";
 
   private static final Map<String, Long> TASK_MILLIS =
-      Map.of(JOB, 300L, OTHER_JOB, 300L, SLOW_JOB, 1_500L, LASTING_JOB, 0L);
+      Map.of(JOB, 300L, OTHER_JOB, 300L, SHORT_JOB, 40L, SLOW_JOB, 1_500L, LASTING_JOB, 0L);
 
   private SimulatedDeployment deployment;
   private JobNode first;
@@ -81,6 +83,43 @@
     assertThat(deployment.state(second, OTHER_JOB), is(Optional.of(JobState.COMPLETED)));
   }
 
+  /**
+   * Guards against tasks that run again after the leader has changed, although their ends were
+   * acknowledged: a worker had restarted under its id, the leader did not know it yet and repeated
+   * its last acknowledgement, and the new incarnation discarded finished runs that nobody had
+   * received (the TWICE on paseos-plata-grown looks like this).
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "50, 1",
+    "50, 100",
+    "200, 200",
+    "400, 1",
+    "600, 1",
+    "800, 1",
+    "1000, 1",
+    "1200, 1",
+    "1400, 1",
+    "1600, 1",
+    "1500, 100",
+    "1500, 500"
+  })
+  void acknowledgementOfEarlierIncarnationIsNotRepeated(
+      final int leaderLostAfterMillis, final int entryAfterMillis) {
+    deployment.startMachineOf("w1");
+    deployment.submit(second, OTHER_JOB, SimulatedDeployment.step(6));
+    deployment.advance(Duration.ofSeconds(2));
+    deployment.restartWorker("w1");
+    deployment.submit(second, SHORT_JOB, SimulatedDeployment.step(2));
+    deployment.advance(Duration.ofMillis(leaderLostAfterMillis));
+    deployment.isolate("d1");
+    deployment.advance(Duration.ofMillis(entryAfterMillis));
+    deployment.writeEntryOfRestart("w1");
+    deployment.advance(SimulatedDeployment.FAIL_OVER.plusSeconds(3));
+    assertThat(deployment.workers.history().starts(SHORT_JOB), is(2));
+    assertThat(deployment.state(second, SHORT_JOB), is(Optional.of(JobState.COMPLETED)));
+  }
+
   /**
    * A machine with a confirmed command is left alone until the lease on machines has ended. The
    * first new leader recorded it as unconfirmed, so the second one left it alone for 15 s, and
