Do not let a late write replace the number of waiting jobs

Cause: the write required the term of the leader and not the revision that it replaced, so an earlier one that was executed late took the place of a newer one.

Change: it requires the revision, and a conflict is followed by a write at the next tick.

--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -143,6 +143,10 @@
     }
   }
 
+  /**
+   * Publishes the counts of waiting jobs. The write requires the revision that it replaces, so one
+   * that is executed late does not replace a newer one.
+   */
   private void publish(final long now) {
     final Map<String, Integer> counts = new HashMap<>();
     for (final JobRun job : jobs.active()) {
@@ -154,11 +158,16 @@
     if (counts.equals(publishedCounts)) {
       return;
     }
+    final Transaction transaction =
+        items.write(
+            items.newTransaction(),
+            StoreKeys.WAITING,
+            Documents.write(new WaitingDocument(counts)));
     commit(
-        items
-            .newTransaction()
-            .write(StoreKeys.WAITING, Documents.write(new WaitingDocument(counts)), 0),
-        () -> publishedCounts = counts);
+        transaction,
+        List.of(StoreKeys.WAITING),
+        () -> publishedCounts = counts,
+        () -> publishedAt = Long.MIN_VALUE / 2);
   }
 
   private void removeExpired() {
@@ -188,7 +197,7 @@
               .remove(StoreKeys.cancellation(id))
               .remove(StoreKeys.progress(id));
     }
-    commit(transaction, () -> forget(expired));
+    commit(transaction, List.of(), () -> forget(expired), () -> {});
   }
 
   /** Removes cancellations of jobs that were never accepted. */
@@ -208,6 +217,7 @@
     }
     commit(
         transaction,
+        List.of(),
         () -> {
           ids.forEach(cancelledIds::remove);
           cancellationBatchSize = MAX_REMOVE_BATCH_SIZE;
@@ -231,17 +241,16 @@
     }
   }
 
-  private void commit(final Transaction transaction, final Runnable onApplied) {
-    commit(transaction, onApplied, () -> {});
-  }
-
   private void commit(
-      final Transaction transaction, final Runnable onApplied, final Runnable onConflict) {
+      final Transaction transaction,
+      final List<String> keys,
+      final Runnable onApplied,
+      final Runnable onConflict) {
     writeInFlight = true;
     items.commit(
         context,
         transaction,
-        List.of(),
+        keys,
         (outcome, reason) -> {
           writeInFlight = false;
           if (outcome == LeaderItems.WriteOutcome.APPLIED) {
--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobNodeTest.java
@@ -379,4 +379,25 @@
         .filter(item -> new String(item.value(), StandardCharsets.UTF_8).contains(daemon))
         .isPresent();
   }
+
+  /**
+   * Guards against a number of waiting jobs that stays too low: an earlier write of it was executed
+   * late and replaced the present one for good (second review).
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 200, 400, 600})
+  void lateWriteDoesNotReplaceNumberOfWaitingJobs(final int phaseMillis) {
+    deployment.advance(Duration.ofMillis(phaseMillis));
+    deployment.submit(second, JOB, gang(17));
+    deployment.advance(Duration.ofMillis(20));
+    deployment.store.fault("d1", StoreFault.LATE);
+    deployment.advance(Duration.ofMillis(750));
+    deployment.store.fault("d1", StoreFault.NONE);
+    deployment.submit(second, JOB.replace('a', 'b'), gang(17));
+    deployment.submit(second, JOB.replace('a', 'c'), gang(17));
+    deployment.advance(Duration.ofSeconds(5));
+    assertThat(
+        deployment.await(second.jobApi().waiting(SimulatedDeployment.QUEUE), Duration.ofSeconds(1)),
+        is(3));
+  }
 }
