--- a/policy/src/main/java/org/lentilsail/policy/job/TaskBudget.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/TaskBudget.java
@@ -5,7 +5,7 @@
  * beyond the limit starts when other work is done. Confined to the control thread.
  */
 final class TaskBudget {
-  /** Maximum number of tasks; some 25 MB. */
+  /** Maximum number of tasks, which bounds the memory that they take. */
   static final int MAX_TASKS = 100_000;
 
   private long tasks;
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerState.java
@@ -11,7 +11,7 @@
 
 /** State of one incarnation of a worker, with its runs; confined to the control thread. */
 public final class WorkerState {
-  /** Maximum number of runs, so that a report of them stays below 0.5 MB. */
+  /** Maximum number of runs, so that a report of them can be read. */
   static final int MAX_RUNS = 5_000;
 
   private final List<TaskRun> runs = new ArrayList<>();
