Give offers to take over a class of their own

TakeoverOffers sends the offers now; what is sent, when and under which precondition stays. ElectionTest, LeaderCapacityTest, HandOverTest and JobNodeTest pass.

--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -27,9 +27,6 @@
   /** Delay in ms before a failed claim is retried. */
   private static final long CLAIM_RETRY_DELAY_MILLIS = 120;
 
-  /** Delay in ms before this daemon offers to take over from a leader with less CPU. */
-  private static final long OFFER_DELAY_MILLIS = 1_500;
-
   /** Minimum time between two watch requests. */
   private static final Duration WATCH_INTERVAL = Duration.ofMillis(5);
 
@@ -42,6 +39,7 @@
   private final TermListener listener;
   private final StoreRetries retries;
   private final CapacityPreference capacity;
+  private final TakeoverOffers offers;
   private final PrefixWatcher watcher;
   private final LeaderPresence leader = new LeaderPresence();
   private final ClaimDelay claimDelay;
@@ -71,6 +69,7 @@
     this.log = log;
     this.listener = listener;
     this.claimDelay = new ClaimDelay(time, capacity);
+    this.offers = new TakeoverOffers(store, daemon, executor, log, capacity, this::leadsIn);
     this.lease =
         new LeaderLease(
             store,
@@ -175,33 +174,9 @@
     }
   }
 
-  /** Schedules a takeover offer if the leader has less CPU than this daemon. */
-  private void scheduleOffer(final TermDocument document) {
-    if (capacity.hasMoreCpuThan(document.processor())) {
-      executor.schedule(() -> sendOffer(document), OFFER_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void sendOffer(final TermDocument document) {
-    if (knownTerm != document.term() || !leader.isPresent() || resigned) {
-      return;
-    }
-    final OfferDocument offer = new OfferDocument(document.term(), daemon, capacity.ownCpuMillis());
-    store
-        .commit(
-            Transaction.empty()
-                .requireRevision(StoreKeys.TERM, termRevision)
-                .write(StoreKeys.OFFER, Documents.write(offer), 0))
-        .whenComplete(
-            (result, failure) ->
-                log.log(
-                    "control-offered",
-                    "term",
-                    document.term(),
-                    "holder",
-                    document.holder(),
-                    "outcome",
-                    failure == null ? "applied=" + result.applied() : failure.getMessage()));
+  /** Returns whether a daemon still leads in a term, so that an offer to it makes sense. */
+  private boolean leadsIn(final long term) {
+    return knownTerm == term && leader.isPresent() && !resigned;
   }
 
   private void handleTerm(final TermDocument document, final long revision) {
@@ -209,7 +184,7 @@
       return;
     }
     if (document.term() > knownTerm) {
-      scheduleOffer(document);
+      offers.schedule(document, revision);
     }
     knownTerm = document.term();
     termRevision = revision;
