A flood of request lines no longer drops the lines that change a belief

What callers saw: tasks ran twice around an outage of the store, and the logs of the daemons could not tell why.

Cause: all lines share 400 lines a second and a queue of 2,000.

Change: lines have a kind. The queue keeps the order of all lines.

Why it works: a line of one kind never takes from the budget of the other; each kind is bounded by its rate and by its waiting lines.

--- a/library/src/main/java/org/lentilsail/log/DecisionLog.java
+++ b/library/src/main/java/org/lentilsail/log/DecisionLog.java
@@ -1,35 +1,36 @@
 package org.lentilsail.log;
 
 import java.io.PrintStream;
-import java.util.concurrent.ArrayBlockingQueue;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.lentilsail.model.time.TimeSource;
 
 /**
- * Writes one line of {@code key=value} pairs for each decision. Lines pass through a bounded queue
- * to a writer thread, so that callers never block. Lines that exceed the rate limit or the queue
- * are dropped, and the next line states how many.
+ * Writes one line of {@code key=value} pairs for each decision. Lines pass through a queue to a
+ * writer thread, so that callers never block. Lines that exceed the rate limit or the room of their
+ * kind are dropped, and the next line states how many.
  */
 public final class DecisionLog implements AutoCloseable {
-  /** Capacity of the queue in lines. */
-  private static final int QUEUE_LINES = 2_000;
-
-  /** Rate limit in lines per second; at 200 bytes a line this bounds the volume to 80 KB/s. */
-  private static final int LINES_PER_SECOND = 400;
-
   /** Maximum time in ms to wait for the writer thread on close. */
   private static final long CLOSE_MILLIS = 200;
 
-  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  /** Holds no more lines than the budgets admit. */
+  private final BlockingQueue<Line> queue = new LinkedBlockingQueue<>();
 
-  private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
-  private final AtomicLong dropped = new AtomicLong();
+  private final Map<LineKind, LineBudget> budgets = new EnumMap<>(LineKind.class);
   private final TimeSource time;
   private final PrintStream out;
   private final Thread writer;
-  private long windowStart;
-  private int windowLines;
+
+  /**
+   * A line that waits for the writer.
+   *
+   * @param kind kind of the line
+   * @param text the line
+   */
+  private record Line(LineKind kind, String text) {}
 
   /**
    * Starts a log.
@@ -40,21 +41,33 @@
   public DecisionLog(final TimeSource time, final PrintStream out) {
     this.time = time;
     this.out = out;
-    this.windowStart = time.nanos();
+    for (final LineKind kind : LineKind.values()) {
+      budgets.put(kind, new LineBudget(kind, time.nanos()));
+    }
     writer = new Thread(this::write, "log");
     writer.setDaemon(true);
     writer.start();
   }
 
   /**
-   * Logs a decision.
+   * Logs a decision; the name of the event tells the kind of the line.
    *
    * @param event name of the decision
    * @param pairs alternating names and values: request or task, inputs, their age, outcome
    */
   public void log(final String event, final Object... pairs) {
-    if (!admit()) {
-      dropped.incrementAndGet();
+    log(LineKind.of(event), event, pairs);
+  }
+
+  /**
+   * Logs a decision.
+   *
+   * @param kind kind of the line
+   * @param event name of the decision
+   * @param pairs alternating names and values: request or task, inputs, their age, outcome
+   */
+  public void log(final LineKind kind, final String event, final Object... pairs) {
+    if (!budgets.get(kind).admit(time.nanos())) {
       return;
     }
     final StringBuilder line = new StringBuilder(160);
@@ -63,22 +76,17 @@
       line.append(' ').append(pairs[i]).append('=');
       append(line, String.valueOf(pairs[i + 1]));
     }
-    final long droppedLines = dropped.getAndSet(0);
-    if (droppedLines > 0) {
-      line.append(" dropped=").append(droppedLines);
-    }
-    if (!queue.offer(line.toString())) {
-      dropped.addAndGet(droppedLines + 1);
-    }
+    budgets.values().forEach(budget -> budget.appendDropped(line));
+    queue.add(new Line(kind, line.toString()));
   }
 
   /**
    * Returns the number of lines dropped since the last line that was written.
    *
-   * @return number of lines
+   * @return number of lines of all kinds
    */
   public long dropped() {
-    return dropped.get();
+    return budgets.values().stream().mapToLong(LineBudget::dropped).sum();
   }
 
   @Override
@@ -89,24 +97,14 @@
     } catch (final InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     }
-    String line = queue.poll();
+    Line line = queue.poll();
     while (line != null) {
-      out.println(line);
+      print(line);
       line = queue.poll();
     }
     out.flush();
   }
 
-  private synchronized boolean admit() {
-    final long now = time.nanos();
-    if (now - windowStart >= NANOS_PER_SECOND) {
-      windowStart = now;
-      windowLines = 0;
-    }
-    windowLines++;
-    return windowLines <= LINES_PER_SECOND;
-  }
-
   private static void append(final StringBuilder line, final String value) {
     final boolean quoted = value.isEmpty() || value.indexOf(' ') >= 0 || value.indexOf('\n') >= 0;
     if (quoted) {
@@ -119,10 +117,15 @@
   private void write() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        out.println(queue.take());
+        print(queue.take());
       }
     } catch (final InterruptedException stop) {
       Thread.currentThread().interrupt();
     }
   }
+
+  private void print(final Line line) {
+    budgets.get(line.kind()).taken();
+    out.println(line.text());
+  }
 }
