Ignore jobs in a list that were removed while it was read

What callers could see: all tasks of a finished job run a second time three minutes after its end, and a job that nobody cancelled is shown as cancelled when its id had an earlier cancellation without a job.

Cause: after lost history the watch of in/ reads all items in pages. An item read before Housekeeping removed its job arrives after it; the registry no longer has the job, so JobInput took the item for a new submission, without progress. A removed cancellation came back as that of an unknown job, could not be removed again (its item has no revision), and cancelled the next submission of its id. One page is enough, if its answer is delayed.

Change: the leader keeps the revision at which it removed an id and ignores items of it that are older, until the watch has passed that revision. PrefixListener.onCaughtUp tells the revision; the watcher makes one call at a time and a list counts from the revision of its first page, so nothing delivered afterwards can be older than the removal. An item that is newer is another submission and is accepted.

Memory: one id of 16 characters for each job removed since the watch last caught up, normally those of some ms, never more than the jobs known then. No call to the store and no delay is added.

The next leader needs nothing of this: its reads of in/ and p/ are sent after its claim, reads are linearizable, and every removal requires the term unchanged, so no removal falls between them; it removes jobs only once both have been applied.

--- a/library/src/main/java/org/lentilsail/jobs/HeldListener.java
+++ b/library/src/main/java/org/lentilsail/jobs/HeldListener.java
@@ -36,6 +36,11 @@
     deliver(listener::onBatchEnd);
   }
 
+  @Override
+  public void onCaughtUp(final long revision) {
+    deliver(() -> listener.onCaughtUp(revision));
+  }
+
   /** Delivers the held notifications in their order, and later ones at once. */
   void release() {
     released = true;
--- a/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
+++ b/library/src/main/java/org/lentilsail/jobs/Housekeeping.java
@@ -42,6 +42,7 @@
   private final ControlContext context;
   private final JobRegistry jobs;
   private final CancelledIds cancelledIds;
+  private final RemovedIds removedIds;
   private final Fleet fleet;
   private final LeaderItems items;
   private final QuotaReport quotas;
@@ -66,6 +67,7 @@
       final ControlContext context,
       final JobRegistry jobs,
       final CancelledIds cancelledIds,
+      final RemovedIds removedIds,
       final Fleet fleet,
       final LeaderItems items) {
     this.items = items;
@@ -74,6 +76,7 @@
     this.fleet = fleet;
     this.jobs = jobs;
     this.cancelledIds = cancelledIds;
+    this.removedIds = removedIds;
   }
 
   void tick(final long now) {
@@ -220,6 +223,7 @@
         List.of(),
         () -> {
           ids.forEach(cancelledIds::remove);
+          markRemoved(ids);
           cancellationBatchSize = MAX_REMOVE_BATCH_SIZE;
         },
         () -> cancellationsChanged(ids));
@@ -235,12 +239,17 @@
   }
 
   private void forget(final List<String> ids) {
+    markRemoved(ids);
     for (final String id : ids) {
       jobs.remove(id);
       items.forget(StoreKeys.progress(id));
     }
   }
 
+  private void markRemoved(final List<String> ids) {
+    ids.forEach(id -> removedIds.add(id, items.appliedRevision()));
+  }
+
   private void commit(
       final Transaction transaction,
       final List<String> keys,
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -52,6 +52,7 @@
   private final Fleet fleet = new Fleet();
   private final RecoveryGate gate = new RecoveryGate();
   private final CancelledIds cancelledIds = new CancelledIds();
+  private final RemovedIds removedIds = new RemovedIds();
   private final JobInput input;
   private final HeldListener heldInput;
   private final HeldListener heldRegistry;
@@ -117,7 +118,7 @@
             this::stateChanged,
             workers::workerEnded,
             workers::machinesListed);
-    housekeeping = new Housekeeping(context, jobs, cancelledIds, fleet, items);
+    housekeeping = new Housekeeping(context, jobs, cancelledIds, removedIds, fleet, items);
     input = createInput();
     heldInput = new HeldListener(input);
     heldRegistry = new HeldListener(workers.registry());
@@ -129,7 +130,7 @@
 
   private JobInput createInput() {
     return new JobInput(
-        context, jobs, runTracker, cancelledIds, this::inputLoaded, this::stateChanged);
+        context, jobs, runTracker, cancelledIds, removedIds, this::inputLoaded, this::stateChanged);
   }
 
   private PrefixWatcher watcher(
--- a/library/src/main/java/org/lentilsail/jobs/JobInput.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobInput.java
@@ -25,18 +25,21 @@
   private final Runnable stateChanged;
   private final Map<String, JobProgress> persistedProgress = new HashMap<>();
   private final CancelledIds cancelledIds;
+  private final RemovedIds removedIds;
 
   JobInput(
       final ControlContext context,
       final JobRegistry jobs,
       final RunTracker runTracker,
       final CancelledIds cancelledIds,
+      final RemovedIds removedIds,
       final Runnable loaded,
       final Runnable stateChanged) {
     this.context = context;
     this.jobs = jobs;
     this.runTracker = runTracker;
     this.cancelledIds = cancelledIds;
+    this.removedIds = removedIds;
     this.loaded = loaded;
     this.stateChanged = stateChanged;
   }
@@ -68,8 +71,16 @@
     stateChanged.run();
   }
 
+  @Override
+  public void onCaughtUp(final long revision) {
+    removedIds.caughtUp(revision);
+  }
+
   private void applyItem(final StoredItem item, final boolean fromSnapshot) {
     final String id = StoreKeys.inputId(item.key());
+    if (removedIds.contains(id, item)) {
+      return;
+    }
     if (StoreKeys.isCancellation(item.key())) {
       cancel(id, item);
     } else if (jobs.job(id) == null) {
--- a/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
@@ -18,6 +18,7 @@
 final class LeaderItems {
   private final Map<String, Long> revisions = new HashMap<>();
   private Term term;
+  private long appliedRevision;
 
   /** Result of a transaction of the leader. */
   enum WriteOutcome {
@@ -71,6 +72,11 @@
     return transaction.requireRevision(key, revisions.getOrDefault(key, 0L)).remove(key);
   }
 
+  /** Returns the revision of the last transaction that was applied. */
+  long appliedRevision() {
+    return appliedRevision;
+  }
+
   /** Returns whether an item is in the store, as far as the leader knows. */
   boolean isPresent(final String key) {
     return revisions.containsKey(key);
@@ -117,6 +123,7 @@
   /** Updates the tracked revisions after a transaction and returns its outcome. */
   WriteOutcome handleResult(final TransactionResult result, final Collection<String> keys) {
     if (result.applied()) {
+      appliedRevision = result.revision();
       keys.forEach(key -> revisions.put(key, result.revision()));
       return WriteOutcome.APPLIED;
     }
--- a/library/src/main/java/org/lentilsail/store/PrefixListener.java
+++ b/library/src/main/java/org/lentilsail/store/PrefixListener.java
@@ -29,4 +29,12 @@
    * @param sentAt when the call was sent; its response may have been delayed
    */
   default void onResponseApplied(final ClockReading sentAt) {}
+
+  /**
+   * Called after each response has been applied. No later notification shows the items as they were
+   * before a revision.
+   *
+   * @param revision all changes up to this revision have been delivered
+   */
+  default void onCaughtUp(final long revision) {}
 }
--- a/library/src/main/java/org/lentilsail/store/PrefixWatcher.java
+++ b/library/src/main/java/org/lentilsail/store/PrefixWatcher.java
@@ -171,7 +171,7 @@
                   revision = page.revision();
                   notify(() -> listener.onSnapshot(page.items()));
                   notify(listener::onBatchEnd);
-                  notify(() -> listener.onResponseApplied(sentAt));
+                  notifyApplied(sentAt);
                   watch();
                 }),
             executor);
@@ -244,10 +244,15 @@
     if (!batch.changes().isEmpty()) {
       notify(listener::onBatchEnd);
     }
-    notify(() -> listener.onResponseApplied(sentAt));
+    notifyApplied(sentAt);
     watch();
   }
 
+  private void notifyApplied(final ClockReading sentAt) {
+    notify(() -> listener.onResponseApplied(sentAt));
+    notify(() -> listener.onCaughtUp(revision));
+  }
+
   /** Notifies the listener. If it throws, the error is logged and the watch continues. */
   private void notify(final Runnable notification) {
     loggedTask("listener of " + prefix, notification).run();
--- a/library/src/test/java/org/lentilsail/jobs/StoredProgressTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/StoredProgressTest.java
@@ -94,7 +94,7 @@
       jobs.restore(id("" + i), new JobProgress(JobState.COMPLETED, 1, List.of(), "", 0), 0);
     }
     final Housekeeping housekeeping =
-        new Housekeeping(context(), jobs, new CancelledIds(), new Fleet(), items);
+        new Housekeeping(context(), jobs, new CancelledIds(), new RemovedIds(), new Fleet(), items);
     for (int tick = 0; tick < 50; tick++) {
       housekeeping.tick(time.nanos());
       executor.advance(Duration.ofMillis(100));
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
@@ -27,7 +27,7 @@
 
 /** In-memory implementation of the platform's store. Thread-safe. */
 public final class MemoryStore {
-  /** Maximum number of items in a page. */
+  /** Default maximum number of items in a page. */
   private static final int PAGE_SIZE = 500;
 
   private final TimeSource time;
@@ -39,6 +39,8 @@
   private final Map<String, StoreFault> faults = new HashMap<>();
   private final Map<String, LongSupplier> answerDelays = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
+  private int pageSize = PAGE_SIZE;
+  private long pageDelayMillis;
   private long revision = 1;
   private long historyStart = 1;
   private long leaseCount;
@@ -104,6 +106,18 @@
     answerDelays.put(daemon, millis);
   }
 
+  /**
+   * Limits the pages of lists and delays their answers; a page shows the items at the time at which
+   * its request arrived.
+   *
+   * @param items maximum number of items in a page
+   * @param delayMillis delay in ms of the answer of each page
+   */
+  public synchronized void pages(final int items, final long delayMillis) {
+    pageSize = items;
+    pageDelayMillis = delayMillis;
+  }
+
   /**
    * Sets what is notified of each call that reaches the store, also of calls that it refuses.
    *
@@ -179,6 +193,10 @@
     return answerDelays.getOrDefault(daemon, () -> 0L).getAsLong();
   }
 
+  synchronized long pageDelayMillis() {
+    return pageDelayMillis;
+  }
+
   synchronized StoreFault faultOf(final String daemon) {
     return faults.getOrDefault(daemon, StoreFault.NONE);
   }
@@ -191,7 +209,7 @@
       if (!entry.getKey().startsWith(prefix)) {
         break;
       }
-      if (items.size() == PAGE_SIZE) {
+      if (items.size() == pageSize) {
         return new ItemPage(items, true, revision);
       }
       items.add(entry.getValue().item());
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
@@ -46,7 +46,7 @@
 
   @Override
   public CompletableFuture<ItemPage> range(final String prefix, final String after) {
-    return call(false, () -> CompletableFuture.completedFuture(store.range(prefix, after)));
+    return call(false, () -> delayed(store.range(prefix, after)));
   }
 
   @Override
@@ -80,6 +80,16 @@
         });
   }
 
+  private CompletableFuture<ItemPage> delayed(final ItemPage page) {
+    final long delayMillis = store.pageDelayMillis();
+    if (delayMillis == 0) {
+      return CompletableFuture.completedFuture(page);
+    }
+    final CompletableFuture<ItemPage> answer = new CompletableFuture<>();
+    executor.schedule(() -> answer.complete(page), delayMillis, TimeUnit.MILLISECONDS);
+    return answer;
+  }
+
   private CompletableFuture<TransactionResult> commitNow(final Transaction transaction) {
     try {
       return CompletableFuture.completedFuture(store.commit(transaction));
