Give the change history of the simulated store a class of its own

The changes that watches read, and the watches that wait, stand in ChangeHistory; what they answer stays.

--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,16 +32,14 @@
   private final TimeSource time;
   private final ScheduledExecutorService executor;
   private final TreeMap<String, Entry> entries = new TreeMap<>();
-  private final List<ItemChange> history = new ArrayList<>();
+  private final ChangeHistory history = new ChangeHistory();
   private final Map<Long, Long> leaseExpiries = new HashMap<>();
   private final Map<Long, Long> timesToLive = new HashMap<>();
   private final Map<String, StoreFault> faults = new HashMap<>();
   private final Map<String, LongSupplier> answerDelays = new HashMap<>();
-  private final List<Waiter> waiters = new ArrayList<>();
   private int pageSize = PAGE_SIZE;
   private long pageDelayMillis;
   private long revision = 1;
-  private long historyStart = 1;
   private long leaseCount;
   private boolean leasesPaused;
   private long leasesPausedAt;
@@ -56,15 +53,6 @@
    */
   private record Entry(StoredItem item, long lease) {}
 
-  /**
-   * A watch that waits for a change.
-   *
-   * @param prefix prefix of the keys
-   * @param after revision after which changes are wanted
-   * @param response the response to complete
-   */
-  private record Waiter(String prefix, long after, CompletableFuture<WatchBatch> response) {}
-
   /**
    * Creates an empty store.
    *
@@ -147,8 +135,7 @@
 
   /** Compacts the history, so that the clients of watches have to read all items again. */
   public synchronized void compact() {
-    history.clear();
-    historyStart = revision;
+    history.compact(revision);
   }
 
   /**
@@ -220,15 +207,14 @@
   synchronized CompletableFuture<WatchBatch> watch(
       final String prefix, final long after, final Duration wait) {
     expireLeases();
-    if (after < historyStart) {
+    if (history.isCompactedAfter(after)) {
       return CompletableFuture.completedFuture(new WatchBatch(true, List.of(), 0));
     }
-    final WatchBatch found = changes(prefix, after);
+    final WatchBatch found = history.changes(prefix, after, revision);
     if (!found.changes().isEmpty()) {
       return CompletableFuture.completedFuture(found);
     }
-    final Waiter waiter = new Waiter(prefix, after, new CompletableFuture<>());
-    waiters.add(waiter);
+    final ChangeHistory.Waiter waiter = history.await(prefix, after);
     executor.schedule(() -> timeOut(waiter), wait.toMillis(), TimeUnit.MILLISECONDS);
     return waiter.response();
   }
@@ -328,30 +314,11 @@
     }
   }
 
-  private WatchBatch changes(final String prefix, final long after) {
-    final List<ItemChange> found = new ArrayList<>();
-    for (int i = history.size() - 1; i >= 0 && history.get(i).revision() > after; i--) {
-      if (history.get(i).key().startsWith(prefix)) {
-        found.add(history.get(i));
-      }
-    }
-    Collections.reverse(found);
-    return new WatchBatch(false, found, revision);
-  }
-
   private void notifyWaiters() {
-    for (final Waiter waiter : List.copyOf(waiters)) {
-      final WatchBatch found = changes(waiter.prefix(), waiter.after());
-      if (!found.changes().isEmpty()) {
-        waiters.remove(waiter);
-        executor.execute(() -> waiter.response().complete(found));
-      }
-    }
+    history.answered(revision).forEach(executor::execute);
   }
 
-  private synchronized void timeOut(final Waiter waiter) {
-    if (waiters.remove(waiter)) {
-      waiter.response().complete(new WatchBatch(false, List.of(), revision));
-    }
+  private synchronized void timeOut(final ChangeHistory.Waiter waiter) {
+    history.timeOut(waiter, revision);
   }
 }
