Each run dropped without its end, and each task freed, has a line

What users saw: tasks ran again after a first run had ended as done, and the logs of the daemons could not tell why. Nine places may believe that a run is over or a task free, and none of them named the run or the task.

Change, without any change of a decision: run-dropped and task-freed name the task, the run, the worker, the reason (one for each place), what was seen and its age in ms. duplicate-run and late-end tell that a run is done whose task was started again. worker-removed tells why, and the tasks whose ends only this leader knows. job-accepted tells which jobs a list has brought, and whether their progress was found. Counters by reason, and of repeated tasks. The policy module reports to a listener and stays free of logs; the library's RunLog writes the lines and counts. Lines of starts that had no effect count as ordinary ones, since there may be hundreds a second.

Cost: no call to the store; one map copy of the pending workers each 100 ms while a gate is closed.

--- a/cli/src/test/java/org/lentilsail/cli/HistoryCommandTest.java
+++ b/cli/src/test/java/org/lentilsail/cli/HistoryCommandTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a history that omits or misorders the log lines needed to diagnose a failed job.
@@ -64,6 +65,39 @@
                 + " state=COMPLETED\n"));
   }
 
+  /**
+   * The lines that tell why a task ran again name the task, whose id begins with that of its job.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "run-dropped task=%s.0.0.1 run=1 worker=w1 reason=lease-expired evidence=\"clock 9\""
+            + " ageMs=4100",
+        "task-freed task=%s.0.0.1 worker=w1 reason=gate-expired ageMs=6180",
+        "duplicate-run task=%s.0.0.1 run=1 worker=w1 otherRun=2 otherWorker=w2",
+        "late-end task=%s.0.0.1 run=1 worker=w1 otherRun=2 otherWorker=w2",
+        "worker-removed worker=w1 reason=removed-from-roster evidence=\"no entry\" ageMs=0"
+            + " unstored=%s.0.0.1",
+        "job-accepted job=%s fromSnapshot=later progress=none ageMs=181000"
+      })
+  void printsWhyTaskRanAgainWithLeaderAroundIt(final String event) throws IOException {
+    final String line = "event=" + event.formatted(ID);
+    Files.writeString(
+        directory.resolve("d3"),
+        "at=80000 event=control-open term=3\n"
+            + "at=81000 "
+            + line
+            + "\nat=81000 event=task-freed task=00000000000000b2.0.0.1 worker=w1\n"
+            + "at=83000 event=lease-expired lease=7\n");
+    assertThat(run("history", ID, file("d3")), is(0));
+    assertThat(
+        out.toString(StandardCharsets.UTF_8),
+        is(
+            "1970-01-01T00:01:20Z d3 event=control-open term=3\n1970-01-01T00:01:21Z d3 "
+                + line
+                + "\n1970-01-01T00:01:23Z d3 event=lease-expired lease=7\n"));
+  }
+
   @ParameterizedTest
   @CsvSource({
     "ffffffffffffffff, d1, 3, name the logs of all daemons",
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -9,6 +9,7 @@
 import org.lentilsail.model.job.JobConfiguration;
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.policy.job.AdvicePlanner;
+import org.lentilsail.policy.job.DropEvidence;
 import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.JobRegistry;
 import org.lentilsail.policy.job.RecoveryGate;
@@ -88,21 +89,13 @@
     this.term = term;
     this.claimedAt = context.time().nanos();
     items = new LeaderItems(term);
-    runTracker = new RunTracker(jobs, new RunNumbers(term.number()));
+    final RunLog runLog = new RunLog(context, jobs, gate);
+    gate.reportTo(runLog);
+    runTracker = new RunTracker(jobs, new RunNumbers(term.number()), runLog);
     scheduler = new Scheduler(jobs, fleet, runTracker, gate);
     advice = new AdviceRunner(context, new AdvicePlanner(jobs, fleet), this::stateChanged);
     progressWriter = new ProgressWriter(context, jobs, items, election::superseded);
-    workers =
-        new LeaderWorkers(
-            context,
-            fleet,
-            runTracker,
-            gate,
-            items,
-            this,
-            this::registryLoaded,
-            this::workerRemoved,
-            election::superseded);
+    workers = createWorkers(runLog);
     placements =
         new PlacementWriter(
             context, runTracker, items, workers::send, this::stateChanged, election::superseded);
@@ -127,6 +120,20 @@
     jobs.configuration(configuration);
   }
 
+  private LeaderWorkers createWorkers(final RunLog runLog) {
+    return new LeaderWorkers(
+        context,
+        fleet,
+        runTracker,
+        gate,
+        runLog,
+        items,
+        this,
+        this::registryLoaded,
+        this::workerRemoved,
+        election::superseded);
+  }
+
   private JobInput createInput() {
     return new JobInput(
         context, jobs, runTracker, cancelledIds, this::inputLoaded, this::stateChanged);
@@ -205,8 +212,8 @@
   }
 
   @Override
-  public void workerResolved(final WorkerState worker) {
-    gate.resolved(worker.id());
+  public void workerResolved(final WorkerState worker, final DropEvidence evidence) {
+    gate.resolved(worker.id(), evidence, context.time().nanos());
   }
 
   @Override
@@ -215,9 +222,9 @@
   }
 
   @Override
-  public void workerGone(final WorkerState worker) {
+  public void workerGone(final WorkerState worker, final DropEvidence evidence) {
     if (!worker.isRegistered()) {
-      workers.remove(worker.id());
+      workers.remove(worker.id(), evidence);
     }
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/JobInput.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobInput.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import org.lentilsail.concurrent.Callbacks;
+import org.lentilsail.log.LineKind;
 import org.lentilsail.model.job.JobProgress;
 import org.lentilsail.model.job.SubmittedJob;
 import org.lentilsail.policy.job.JobRegistry;
@@ -25,6 +26,7 @@
   private final Runnable stateChanged;
   private final Map<String, JobProgress> persistedProgress = new HashMap<>();
   private final CancelledIds cancelledIds;
+  private boolean firstSnapshotRead;
 
   JobInput(
       final ControlContext context,
@@ -55,6 +57,7 @@
   @Override
   public void onSnapshot(final List<StoredItem> items) {
     Callbacks.forEach("job input", items, item -> applyItem(item, true));
+    firstSnapshotRead = true;
     loaded.run();
   }
 
@@ -86,6 +89,9 @@
       context.log().log("job-set-aside", "job", id, "reason", "it has too many tasks");
     }
     final JobProgress progress = persistedProgress.remove(id);
+    if (fromSnapshot) {
+      logAccepted(job, progress != null);
+    }
     if (progress != null) {
       jobs.restore(id, progress, context.time().nanos());
     }
@@ -94,6 +100,24 @@
     }
   }
 
+  /**
+   * Logs a job of a list. After the first list of a leader the changes have the new jobs, so one
+   * that only a later list shows was missed, or was removed before.
+   */
+  private void logAccepted(final SubmittedJob job, final boolean hasProgress) {
+    context.log().log(
+        firstSnapshotRead ? LineKind.BELIEF : LineKind.ORDINARY,
+        "job-accepted",
+        "job",
+        job.spec().id(),
+        "fromSnapshot",
+        firstSnapshotRead ? "later" : "first",
+        "progress",
+        hasProgress ? "found" : "none",
+        "ageMs",
+        context.time().wallMillis() - job.acceptedMillis());
+  }
+
   private void cancel(final String id, final StoredItem item) {
     if (jobs.job(id) == null) {
       cancelledIds.add(id, item, context.time().wallMillis());
--- a/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobMetrics.java
@@ -32,6 +32,7 @@
   private final Gauge heldJobs;
   private final Set<String> organisations = ConcurrentHashMap.newKeySet();
   private final Counter storeReturns;
+  private final DropMetrics drops;
 
   /**
    * Creates and registers the metrics.
@@ -60,6 +61,7 @@
         counter(registry, "machine_orders", "Orders about machines by answer", "kind", "answer");
     storeReturns =
         counter(registry, "store_returns", "Outages of the store that have ended for this daemon");
+    drops = new DropMetrics(registry);
     longestIdleJob =
         Gauge.builder()
             .name("lentilsail_longest_idle_job_seconds")
@@ -128,6 +130,11 @@
     storeReturns.inc();
   }
 
+  /** Returns the counters of runs that ended without a read end. */
+  DropMetrics drops() {
+    return drops;
+  }
+
   void recordLongestIdleJob(final long idleNanos) {
     longestIdleJob.set(idleNanos / NANOS_PER_SECOND);
   }
@@ -156,7 +163,7 @@
     organisations.forEach(this::removeOrganisation);
   }
 
-  private static Counter counter(
+  static Counter counter(
       final PrometheusRegistry registry,
       final String name,
       final String help,
--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -6,9 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
+import org.lentilsail.policy.job.DropEvidence;
+import org.lentilsail.policy.job.DropListener;
+import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.RecoveryGate;
 import org.lentilsail.policy.job.RunCommand;
@@ -23,12 +27,16 @@
   /** Allowance for a worker clock that runs slow and for the network delay of a command. */
   private static final double LEASE_MARGIN_FACTOR = 1.03;
 
+  /** Maximum number of tasks in one log line, of 30 bytes each. */
+  private static final int MAX_LOGGED_TASKS = 50;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final ControlContext context;
   private final Fleet fleet;
   private final RunTracker runTracker;
   private final RecoveryGate gate;
+  private final DropListener drops;
   private final LeaderItems items;
   private final SessionCallbacks callbacks;
   private final WorkerRegistry registry;
@@ -36,6 +44,11 @@
   private final Consumer<String> onWorkerRemoved;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> knownWorkers = new HashMap<>();
+
+  /** Tasks of stored placements whose worker is not on the roster, by worker. */
+  private final Map<String, List<TaskId>> unlistedPlacements = new HashMap<>();
+
+  private long restoredAt;
   private boolean opened;
   private boolean closed;
 
@@ -44,6 +57,7 @@
       final Fleet fleet,
       final RunTracker runTracker,
       final RecoveryGate gate,
+      final DropListener drops,
       final LeaderItems items,
       final SessionCallbacks callbacks,
       final Runnable loaded,
@@ -53,6 +67,7 @@
     this.fleet = fleet;
     this.runTracker = runTracker;
     this.gate = gate;
+    this.drops = drops;
     this.items = items;
     this.callbacks = callbacks;
     this.onWorkerRemoved = onWorkerRemoved;
@@ -80,9 +95,10 @@
       tasks.put(entry.id(), placementsByWorker.getOrDefault(entry.id(), List.of()));
       knownWorkers.putIfAbsent(entry.id(), entry);
     }
-    placementsByWorker.keySet().stream()
-        .filter(id -> !tasks.containsKey(id))
-        .forEach(onWorkerRemoved);
+    restoredAt = context.time().nanos();
+    unlistedPlacements.putAll(placementsByWorker);
+    unlistedPlacements.keySet().removeAll(tasks.keySet());
+    unlistedPlacements.keySet().forEach(onWorkerRemoved);
     gate.close(tasks, claimedAt, maxLeaseNanos());
     registry.expect(tasks.keySet());
   }
@@ -99,9 +115,22 @@
   /** Admits all known workers. */
   void open() {
     opened = true;
+    reportUnlistedPlacements();
     Callbacks.forEach("known worker", List.copyOf(knownWorkers.values()), roster::admit);
   }
 
+  /** Reports the tasks of placements that do not count, once the jobs are known. */
+  private void reportUnlistedPlacements() {
+    final long now = context.time().nanos();
+    unlistedPlacements.forEach(
+        (worker, tasks) -> {
+          final DropEvidence evidence =
+              new DropEvidence(DropReason.NOT_ON_ROSTER, "stored roster", restoredAt);
+          tasks.forEach(task -> drops.taskReleased(task, worker, evidence, now));
+        });
+    unlistedPlacements.clear();
+  }
+
   /** Polls all workers at once, in addition to polls that wait there. */
   void pollAll() {
     Callbacks.forEach("worker session", sessions.values(), WorkerSession::poll);
@@ -143,12 +172,13 @@
       roster.admit(entry);
       return;
     }
-    final boolean restarted = entry.startTimeMillis() > known.entry().startTimeMillis();
+    final long earlierStart = known.entry().startTimeMillis();
+    final boolean restarted = entry.startTimeMillis() > earlierStart;
     final boolean wasUsable = known.isRegistered() && !known.entry().draining();
     known.entry(entry);
     if (restarted) {
       context.log().log("worker-reborn", "worker", entry.id(), "born", entry.startTimeMillis());
-      sessions.get(entry.id()).workerRestarted();
+      sessions.get(entry.id()).workerRestarted(earlierStart);
     }
     if (entry.draining() && wasUsable) {
       context.log().log("worker-draining", "worker", entry.id());
@@ -177,7 +207,9 @@
           && (!worker.runs().isEmpty() || gate.isPending(worker.id()))
           && !activeWorkers.contains(worker.id())) {
         context.log().log("worker-ended", "worker", worker.id(), "runs", worker.runs().size());
-        workerEnded(worker.id());
+        workerEnded(
+            worker.id(),
+            new DropEvidence(DropReason.MACHINE_LIST, "on no machine that is up", requestedAt));
         callbacks.stateChanged();
       }
     }
@@ -198,29 +230,54 @@
   /** Removes a deregistered worker once its runs are known to have finished or expired. */
   private void removeWhenIdle(final WorkerState worker) {
     if (!worker.isRegistered() && worker.runs().isEmpty() && !gate.isPending(worker.id())) {
-      remove(worker.id());
+      remove(
+          worker.id(),
+          new DropEvidence(
+              DropReason.REMOVED_FROM_ROSTER, "no entry, no runs", context.time().nanos()));
     }
   }
 
   /** Processes the termination of a worker and of all its runs. */
-  void workerEnded(final String id) {
+  void workerEnded(final String id, final DropEvidence evidence) {
     final WorkerState worker = fleet.worker(id);
     if (worker != null) {
       worker.markUnregistered();
-      runTracker.workerLost(worker, context.time().nanos());
-      remove(id);
+      runTracker.workerLost(worker, evidence, context.time().nanos());
+      remove(id, evidence);
     }
   }
 
   /** Removes a worker that is known to have terminated. */
-  void remove(final String id) {
+  void remove(final String id, final DropEvidence evidence) {
+    logRemoved(fleet.worker(id), evidence);
     final WorkerSession session = sessions.remove(id);
     if (session != null) {
       session.close();
     }
     fleet.remove(id);
     roster.remove(id);
-    gate.resolved(id);
+    gate.resolved(id, evidence, context.time().nanos());
     onWorkerRemoved.accept(id);
   }
+
+  /** Logs the tasks whose ends only this leader knows; the next one starts them again. */
+  private void logRemoved(final WorkerState worker, final DropEvidence evidence) {
+    if (worker != null) {
+      context.log().log(
+          "worker-removed",
+          "worker",
+          worker.id(),
+          "reason",
+          evidence.reason().text(),
+          "evidence",
+          evidence.seen(),
+          "ageMs",
+          evidence.ageMillis(context.time().nanos()),
+          "unstored",
+          worker.finishedRuns().unpersistedTasks().stream()
+              .limit(MAX_LOGGED_TASKS)
+              .map(TaskId::text)
+              .collect(Collectors.joining(",")));
+    }
+  }
 }
--- a/library/src/main/java/org/lentilsail/jobs/MachineControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineControl.java
@@ -1,10 +1,11 @@
 package org.lentilsail.jobs;
 
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import org.lentilsail.model.job.WaveRequest;
+import org.lentilsail.policy.job.DropEvidence;
 import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.JobRegistry;
 import org.lentilsail.policy.job.RunTracker;
@@ -26,7 +27,7 @@
       final LeaderItems items,
       final BooleanSupplier isLeader,
       final Runnable stateChanged,
-      final Consumer<String> workerEnded,
+      final BiConsumer<String, DropEvidence> workerEnded,
       final ObjLongConsumer<Set<String>> onMachinesListed) {
     directory = new MachineDirectory(context, items, isLeader, onMachinesListed);
     waves =
--- a/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
@@ -6,9 +6,11 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.lentilsail.model.job.Machine;
 import org.lentilsail.model.job.MachineState;
+import org.lentilsail.policy.job.DropEvidence;
+import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.Evacuation;
 import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.JobRegistry;
@@ -28,7 +30,7 @@
   private final MachineDirectory directory;
   private final PoolPlanner planner;
   private final PoolLoadCalculator loads;
-  private final Consumer<String> workerEnded;
+  private final BiConsumer<String, DropEvidence> workerEnded;
   private final Map<String, UnlistedMove> unlistedMoves = new HashMap<>();
   private boolean closed;
 
@@ -46,7 +48,7 @@
       final JobRegistry jobs,
       final RunTracker runTracker,
       final MachineDirectory directory,
-      final Consumer<String> workerEnded) {
+      final BiConsumer<String, DropEvidence> workerEnded) {
     this.context = context;
     this.fleet = fleet;
     this.directory = directory;
@@ -116,6 +118,7 @@
     if (closed) {
       return;
     }
+    final long sentAt = context.time().nanos();
     context
         .machines()
         .move(machine, move.pool(), term.number())
@@ -124,13 +127,14 @@
                 (result, failure) -> {
                   directory.commands().end(machine, result != MachineCommandResult.UNKNOWN);
                   if (!closed) {
-                    handleResult(move, result);
+                    handleResult(move, result, sentAt);
                   }
                 }),
             context.executor());
   }
 
-  private void handleResult(final PoolPlanner.Move move, final MachineCommandResult result) {
+  private void handleResult(
+      final PoolPlanner.Move move, final MachineCommandResult result, final long sentAt) {
     final long now = context.time().nanos();
     context.metrics().recordMachineCommand("move", result.name());
     context.log().log(
@@ -145,7 +149,10 @@
         result);
     final String worker = move.machine().worker();
     if (result == MachineCommandResult.DONE) {
-      workerEnded.accept(worker);
+      workerEnded.accept(
+          worker,
+          new DropEvidence(
+              DropReason.MACHINE_COMMAND, "move of " + move.machine().id() + " confirmed", sentAt));
     }
     unlistedMoves.put(move.machine().id(), new UnlistedMove(move, now));
   }
--- a/library/src/main/java/org/lentilsail/jobs/PlacementWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/PlacementWriter.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.lentilsail.policy.job.DropEvidence;
+import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunTracker;
 import org.lentilsail.policy.job.WorkerState;
@@ -206,7 +208,9 @@
       batch.values().forEach(starts -> starts.forEach(send));
     } else {
       final long now = context.time().nanos();
-      batch.forEach((worker, starts) -> abandon(worker, starts, now));
+      final DropEvidence evidence =
+          new DropEvidence(DropReason.START_NOT_SENT, "placement not stored: " + reason, now);
+      batch.forEach((worker, starts) -> abandon(worker, starts, evidence, now));
       if (outcome == LeaderItems.WriteOutcome.SUPERSEDED) {
         superseded.run();
         return;
@@ -219,10 +223,13 @@
   }
 
   private void abandon(
-      final WorkerState worker, final List<RunCommand.Start> starts, final long now) {
+      final WorkerState worker,
+      final List<RunCommand.Start> starts,
+      final DropEvidence evidence,
+      final long now) {
     for (final RunCommand.Start start : starts) {
       if (worker.runs().contains(start.run())) {
-        runTracker.startRejected(start.run(), now);
+        runTracker.startRejected(start.run(), evidence, now);
       }
     }
   }
--- a/library/src/main/java/org/lentilsail/jobs/SessionCallbacks.java
+++ b/library/src/main/java/org/lentilsail/jobs/SessionCallbacks.java
@@ -1,5 +1,6 @@
 package org.lentilsail.jobs;
 
+import org.lentilsail.policy.job.DropEvidence;
 import org.lentilsail.policy.job.WorkerState;
 
 /** Callbacks of a worker session to job control. */
@@ -19,13 +20,13 @@
   void stateChanged();
 
   /** Called when the runs of a worker are known, or are known to have ended. */
-  void workerResolved(WorkerState worker);
+  void workerResolved(WorkerState worker, DropEvidence evidence);
 
   /** Called when a worker has responded and some of its runs are still not known. */
   void workerPartlyKnown(WorkerState worker);
 
   /** Called when a worker has terminated. */
-  void workerGone(WorkerState worker);
+  void workerGone(WorkerState worker, DropEvidence evidence);
 
   /** Runs an action once all progress up to now is persisted. */
   void whenPersisted(Runnable action);
--- a/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/WaveRunner.java
@@ -7,10 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.WaveRequest;
+import org.lentilsail.policy.job.DropEvidence;
+import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.Evacuation;
 import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.JobRegistry;
@@ -35,7 +37,7 @@
 
   private final ControlContext context;
   private final Runnable stateChanged;
-  private final Consumer<String> workerEnded;
+  private final BiConsumer<String, DropEvidence> workerEnded;
   private final MachineDirectory directory;
   private final LeaderItems items;
   private final WavePlanner planner;
@@ -53,7 +55,7 @@
       final MachineDirectory directory,
       final LeaderItems items,
       final Runnable stateChanged,
-      final Consumer<String> workerEnded) {
+      final BiConsumer<String, DropEvidence> workerEnded) {
     this.context = context;
     this.workerEnded = workerEnded;
     this.directory = directory;
@@ -150,6 +152,7 @@
     if (closed) {
       return;
     }
+    final long sentAt = context.time().nanos();
     context
         .machines()
         .maintain(machine, maintenance.wave().request().number(), term.number())
@@ -162,14 +165,16 @@
                     directory.commands().end(machine, true);
                   }
                   if (!closed) {
-                    handleResult(maintenance, result);
+                    handleResult(maintenance, result, sentAt);
                   }
                 }),
             context.executor());
   }
 
   private void handleResult(
-      final WavePlanner.Maintenance maintenance, final MachineCommandResult result) {
+      final WavePlanner.Maintenance maintenance,
+      final MachineCommandResult result,
+      final long sentAt) {
     final long now = context.time().nanos();
     final Wave wave = maintenance.wave();
     final String machine = maintenance.machine().id();
@@ -189,7 +194,10 @@
       case DONE -> {
         wave.markStarted(
             machine, worker, now + context.bounds().maintenanceMillis() * NANOS_PER_MILLI);
-        workerEnded.accept(worker);
+        workerEnded.accept(
+            worker,
+            new DropEvidence(
+                DropReason.MACHINE_COMMAND, "maintenance of " + machine + " confirmed", sentAt));
       }
       case NOT_IN_WAVE, INVALID -> {
         wave.skip(machine);
--- a/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
@@ -6,6 +6,8 @@
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.lentilsail.policy.job.DropEvidence;
+import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunPhase;
 import org.lentilsail.policy.job.RunTracker;
@@ -110,7 +112,8 @@
       return null;
     }
     if (run.phase() == RunPhase.STOPPING || !callbacks.isLeader() || !worker.clock().isKnown()) {
-      runTracker.startRejected(run, now);
+      final String seen = run.phase() == RunPhase.STOPPING ? "being stopped" : "no lease or clock";
+      runTracker.startRejected(run, new DropEvidence(DropReason.START_NOT_SENT, seen, now), now);
       callbacks.stateChanged();
       return null;
     }
@@ -157,6 +160,7 @@
   private void handleStartReply(
       final TaskRun run, final CommandReply reply, final boolean restarted, final long now) {
     logStart(run, reply);
+    final DropEvidence rejected = evidence(DropReason.START_REJECTED, run, reply);
     switch (reply.result()) {
       case DONE -> runTracker.startAccepted(run, now);
       case UNKNOWN -> {
@@ -165,24 +169,32 @@
       }
       case GONE -> {
         if (restarted) {
-          runTracker.startRejected(run, now);
+          runTracker.startRejected(run, rejected, now);
         } else {
-          runTracker.workerLost(worker, now);
-          callbacks.workerGone(worker);
+          final DropEvidence gone = evidence(DropReason.WORKER_GONE, run, reply);
+          runTracker.workerLost(worker, gone, now);
+          callbacks.workerGone(worker, gone);
         }
       }
       case NO_PERMIT -> {
         run.task().step().permits().discard(worker.id());
-        runTracker.startRejected(run, now);
+        runTracker.startRejected(run, rejected, now);
       }
       default -> {
         handleRejectedStart(reply.result(), now);
-        runTracker.startRejected(run, now);
+        runTracker.startRejected(run, rejected, now);
       }
     }
     callbacks.stateChanged();
   }
 
+  /** Returns what the reply to a start shows; it was sent after the run was assigned. */
+  private static DropEvidence evidence(
+      final DropReason reason, final TaskRun run, final CommandReply reply) {
+    final String seen = "start: " + reply.result() + ' ' + reply.detail();
+    return new DropEvidence(reason, seen.strip(), run.createdAt());
+  }
+
   private void handleRejectedStart(final CommandResult result, final long now) {
     if (result == CommandResult.NOT_SENT) {
       session.callFailed("a start could not be sent");
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -4,6 +4,8 @@
 
 import java.util.concurrent.TimeUnit;
 import org.lentilsail.policy.job.BestEffortThrottle;
+import org.lentilsail.policy.job.DropEvidence;
+import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunTracker;
 import org.lentilsail.policy.job.StuckRuns;
@@ -36,17 +38,6 @@
   /** Delay in ms between polls while finished runs wait to be persisted. */
   private static final long PERSISTING_DELAY_MILLIS = 300;
 
-  /**
-   * A poll in flight.
-   *
-   * @param number number of the poll in this session
-   * @param sentAt monotonic time in ns at which it was sent
-   * @param sentTo start of the incarnation that was known when it was sent, in ms since the Unix
-   *     epoch
-   * @param acknowledged sequence number of the last finished run that it acknowledges, 0 for none
-   */
-  private record SentPoll(int number, long sentAt, long sentTo, long acknowledged) {}
-
   private final ControlContext context;
   private final WorkerState worker;
   private final RunTracker runTracker;
@@ -155,15 +146,16 @@
         && worker.clock().lowerBound(now) > lastExpiry()) {
       context.log().log(
           "worker-lease-expired", "worker", worker.id(), "runs", worker.runs().size());
-      runTracker.workerLost(worker, now);
-      callbacks.workerResolved(worker);
+      final DropEvidence evidence = SessionEvidence.leaseExpired(worker, lastExpiry(), now);
+      runTracker.workerLost(worker, evidence, now);
+      callbacks.workerResolved(worker, evidence);
       callbacks.stateChanged();
     }
   }
 
   /** Discards the finished runs of an earlier incarnation of the worker. */
-  private void resetIncarnation(final long now) {
-    runTracker.workerRestarted(worker, now);
+  private void resetIncarnation(final DropEvidence evidence, final long now) {
+    runTracker.workerRestarted(worker, evidence, now);
     persisting = false;
   }
 
@@ -217,7 +209,7 @@
   }
 
   private void applyReport(final WorkerReport report, final SentPoll poll, final long now) {
-    if (!isCurrentIncarnation(report, now)) {
+    if (!isCurrentIncarnation(report, poll.sentAt(), now)) {
       return;
     }
     if (isCurrentIncarnation(poll.sentTo())) {
@@ -235,7 +227,7 @@
           "worker-answers", "worker", worker.id(), "running", report.running().size());
     }
     if (report.complete()) {
-      callbacks.workerResolved(worker);
+      callbacks.workerResolved(worker, SessionEvidence.reported(report, poll.sentAt()));
     } else {
       callbacks.workerPartlyKnown(worker);
     }
@@ -277,7 +269,8 @@
     }
   }
 
-  private boolean isCurrentIncarnation(final WorkerReport report, final long now) {
+  private boolean isCurrentIncarnation(
+      final WorkerReport report, final long sentAt, final long now) {
     final long knownStartTime = worker.entry().startTimeMillis();
     if (report.startTimeMillis() == 0 || knownStartTime == report.startTimeMillis()) {
       return true;
@@ -287,7 +280,9 @@
     }
     context.log().log("worker-reborn", "worker", worker.id(), "born", report.startTimeMillis());
     worker.restartedBeforeEntry(report.startTimeMillis());
-    resetIncarnation(now);
+    resetIncarnation(
+        SessionEvidence.restarted(DropReason.RESTART_REPORTED, worker, knownStartTime, sentAt),
+        now);
     return true;
   }
 
@@ -296,9 +291,15 @@
     return sentTo == worker.entry().startTimeMillis();
   }
 
-  /** Called when the registry shows a later start time of the worker. */
-  void workerRestarted() {
-    resetIncarnation(context.time().nanos());
+  /**
+   * Called when the registry shows a later start time of the worker.
+   *
+   * @param earlierStart start of the incarnation that was known, in ms since the Unix epoch
+   */
+  void workerRestarted(final long earlierStart) {
+    final long now = context.time().nanos();
+    resetIncarnation(
+        SessionEvidence.restarted(DropReason.RESTART_REGISTERED, worker, earlierStart, now), now);
     poll();
     callbacks.stateChanged();
   }
@@ -323,9 +324,11 @@
   private void handleFailure(final PollReply reply, final SentPoll poll, final long now) {
     if (reply.result() == CommandResult.GONE && isCurrentIncarnation(poll.sentTo())) {
       context.log().log("worker-gone", "worker", worker.id(), "reason", reply.detail());
-      runTracker.workerLost(worker, now);
-      callbacks.workerResolved(worker);
-      callbacks.workerGone(worker);
+      final DropEvidence evidence =
+          new DropEvidence(DropReason.WORKER_GONE, "poll: " + reply.detail(), poll.sentAt());
+      runTracker.workerLost(worker, evidence, now);
+      callbacks.workerResolved(worker, evidence);
+      callbacks.workerGone(worker, evidence);
       callbacks.stateChanged();
     } else if (reply.result() == CommandResult.FENCED) {
       callbacks.fenced();
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -1,14 +1,18 @@
 package org.lentilsail.jobs;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.OutputStream;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot.CounterDataPointSnapshot;
+import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.lentilsail.ManualExecutor;
 import org.lentilsail.log.DecisionLog;
 import org.lentilsail.model.job.JobSpec;
@@ -18,8 +22,10 @@
 import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.model.time.ManualTimeSource;
+import org.lentilsail.policy.job.DropEvidence;
 import org.lentilsail.policy.job.JobRegistry;
 import org.lentilsail.policy.job.JobRun;
+import org.lentilsail.policy.job.RecoveryGate;
 import org.lentilsail.policy.job.RunNumbers;
 import org.lentilsail.policy.job.RunTracker;
 import org.lentilsail.policy.job.StepSpecBuilder;
@@ -56,22 +62,50 @@
           0);
   final WorkerSession session;
 
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final DecisionLog log =
-      new DecisionLog(time, new PrintStream(OutputStream.nullOutputStream()));
+      new DecisionLog(time, new PrintStream(out, true, StandardCharsets.UTF_8));
+  private final PrometheusRegistry registry = new PrometheusRegistry();
   private final ManualExecutor executor = new ManualExecutor(time);
   private final JobRegistry jobs = new JobRegistry();
 
   SessionFixture() {
-    runTracker = new RunTracker(jobs, new RunNumbers(1));
+    final ControlContext context = context();
+    runTracker =
+        new RunTracker(jobs, new RunNumbers(1), new RunLog(context, jobs, new RecoveryGate()));
     session =
         new WorkerSession(
-            context(), worker, runTracker, new LeaderItems(new Term(1, 1)), new LeaderCallbacks());
+            context, worker, runTracker, new LeaderItems(new Term(1, 1)), new LeaderCallbacks());
   }
 
   void close() {
     log.close();
   }
 
+  /** Closes the log and returns its lines of an event. */
+  List<String> closeAndReadLines(final String event) {
+    log.close();
+    return out.toString(StandardCharsets.UTF_8)
+        .lines()
+        .filter(line -> line.contains(" event=" + event + ' '))
+        .toList();
+  }
+
+  /** Returns the values of a counter by the value of its only label. */
+  Map<String, Double> counts(final String name) {
+    return registry.scrape(name::equals).stream()
+        .flatMap(metric -> metric.getDataPoints().stream())
+        .map(CounterDataPointSnapshot.class::cast)
+        .collect(
+            Collectors.toMap(
+                point -> point.getLabels().getValue(0), CounterDataPointSnapshot::getValue));
+  }
+
+  /** Checks the time-based conditions of the session. */
+  void tick() {
+    session.tick(time.nanos());
+  }
+
   /** Starts a run of a new job with one task. */
   TaskRun startedRun(final String job) {
     final StepSpec step = StepSpecBuilder.tasks(1).estimateMillis(300).build();
@@ -94,6 +128,11 @@
     executor.advance(Duration.ofMillis(400));
   }
 
+  /** Moves the clock on and runs what is due. */
+  void advance(final Duration duration) {
+    executor.advance(duration);
+  }
+
   /** Replies to the last command. */
   void replyToCommand(final CommandResult result, final long clockMillis) {
     workers.lastCommand.complete(new CommandReply(result, clockMillis, ""));
@@ -102,8 +141,9 @@
 
   /** Shows the session a later start time of the worker, as the registry does. */
   void restartWorker(final long startTimeMillis) {
+    final long earlierStart = worker.entry().startTimeMillis();
     worker.entry(worker.entry().withStartTime(startTimeMillis));
-    session.workerRestarted();
+    session.workerRestarted(earlierStart);
   }
 
   private ControlContext context() {
@@ -116,7 +156,7 @@
         executor,
         time,
         log,
-        new JobMetrics(new PrometheusRegistry()),
+        new JobMetrics(registry),
         new ControlBounds(6_000, 2_000, 1_500, 120_000, 3_000, 1_000));
   }
 
@@ -181,13 +221,13 @@
     public void stateChanged() {}
 
     @Override
-    public void workerResolved(final WorkerState worker) {}
+    public void workerResolved(final WorkerState worker, final DropEvidence evidence) {}
 
     @Override
     public void workerPartlyKnown(final WorkerState worker) {}
 
     @Override
-    public void workerGone(final WorkerState worker) {}
+    public void workerGone(final WorkerState worker, final DropEvidence evidence) {}
 
     @Override
     public void whenPersisted(final Runnable action) {
--- a/library/src/test/java/org/lentilsail/jobs/WorkerCommandsTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/WorkerCommandsTest.java
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.lentilsail.policy.job.ActiveRun;
+import org.lentilsail.policy.job.DropEvidence;
+import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.TaskRun;
 import org.lentilsail.policy.job.WorkerReport;
@@ -39,7 +41,9 @@
   @Test
   void doesNotStartAbandonedRun() {
     final TaskRun run = fixture.startedRun(JOB);
-    fixture.runTracker.workerLost(fixture.worker, fixture.time.nanos());
+    final long now = fixture.time.nanos();
+    fixture.runTracker.workerLost(
+        fixture.worker, new DropEvidence(DropReason.LEASE_EXPIRED, "", now), now);
     fixture.session.send(new RunCommand.Start(run));
     assertThat(fixture.workers.starts, is(0));
   }
--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRunProcessor.java
@@ -10,10 +10,12 @@
 final class FinishedRunProcessor {
   private final JobRegistry jobs;
   private final RunTracker tracker;
+  private final DropListener drops;
 
-  FinishedRunProcessor(final JobRegistry jobs, final RunTracker tracker) {
+  FinishedRunProcessor(final JobRegistry jobs, final RunTracker tracker, final DropListener drops) {
     this.jobs = jobs;
     this.tracker = tracker;
+    this.drops = drops;
   }
 
   /**
@@ -40,7 +42,10 @@
         task.step().recordDuration(now - run.createdAt());
       }
     }
-    task.recordRunNumber(finished.run());
+    if (finished.outcome() == RunOutcome.DONE && isRepeated(task, finished)) {
+      drops.endOfRepeatedTask(worker, finished, task);
+    }
+    task.recordRun(finished.run(), worker.id());
     task.step().job().markRunning();
     task.updateCheckpoint(finished.checkpoint());
     switch (finished.outcome()) {
@@ -52,6 +57,13 @@
         && (finished.outcome() == RunOutcome.DONE || finished.outcome() == RunOutcome.FAILED);
   }
 
+  /** Returns whether a task that may not run twice was started again beside or after a run. */
+  private static boolean isRepeated(final Task task, final FinishedRun finished) {
+    return !task.step().spec().speculative()
+        && !task.step().spec().longRunning()
+        && (!task.runs().isEmpty() || task.lastRunNumber() > finished.run());
+  }
+
   private void stopGangOf(final Task task, final FinishedRun finished) {
     if (task.step().spec().gang() && !task.step().isDone()) {
       tracker.stopGang(
--- a/policy/src/main/java/org/lentilsail/policy/job/FinishedRuns.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/FinishedRuns.java
@@ -79,7 +79,7 @@
    *
    * @return ids of the tasks
    */
-  Collection<TaskId> unpersistedTasks() {
+  public Collection<TaskId> unpersistedTasks() {
     return List.copyOf(unpersisted.values());
   }
 
--- a/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RecoveryGate.java
@@ -20,6 +20,8 @@
   private final Map<String, Pending> pending = new HashMap<>();
   private final Set<TaskId> blocked = new HashSet<>();
   private final Map<String, List<Charge>> charges = new HashMap<>();
+  private DropListener drops = DropListener.NONE;
+  private long leaseNanos;
 
   /**
    * A worker that has not been polled yet.
@@ -37,6 +39,15 @@
    */
   private record Charge(OrganisationAccount account, Resources demand) {}
 
+  /**
+   * Sets who is told of each task that is no longer blocked.
+   *
+   * @param listener is told of the tasks
+   */
+  public void reportTo(final DropListener listener) {
+    drops = listener;
+  }
+
   /**
    * Blocks the tasks of all given workers.
    *
@@ -48,6 +59,7 @@
       final Map<String, ? extends Collection<TaskId>> workers,
       final long now,
       final long leaseNanos) {
+    this.leaseNanos = leaseNanos;
     List.copyOf(charges.keySet()).forEach(this::release);
     pending.clear();
     workers.forEach((id, tasks) -> pending.put(id, new Pending(tasks, now + leaseNanos)));
@@ -91,12 +103,15 @@
    * blocks its tasks.
    *
    * @param worker id of the worker
+   * @param evidence what shows it
+   * @param now monotonic time in ns
    */
-  public void resolved(final String worker) {
+  public void resolved(final String worker, final DropEvidence evidence, final long now) {
     release(worker);
     final Pending known = pending.remove(worker);
     if (known != null && !known.tasks().isEmpty()) {
       updateBlocked();
+      notifyReleased(worker, known, evidence, now);
     }
   }
 
@@ -116,14 +131,32 @@
    * @param now monotonic time in ns
    */
   public void expire(final long now) {
-    if (pending.values().removeIf(worker -> now >= worker.expiresAt())) {
-      List.copyOf(charges.keySet()).stream()
-          .filter(worker -> !pending.containsKey(worker))
-          .forEach(this::release);
+    final Map<String, Pending> expired = new HashMap<>(pending);
+    expired.values().removeIf(worker -> now < worker.expiresAt());
+    if (!expired.isEmpty()) {
+      pending.keySet().removeAll(expired.keySet());
+      expired.keySet().forEach(this::release);
       updateBlocked();
+      expired.forEach((worker, known) -> notifyExpired(worker, known, now));
     }
   }
 
+  private void notifyExpired(final String worker, final Pending known, final long now) {
+    final DropEvidence evidence =
+        new DropEvidence(
+            DropReason.GATE_EXPIRED,
+            "lease granted at the latest then",
+            known.expiresAt() - leaseNanos);
+    notifyReleased(worker, known, evidence, now);
+  }
+
+  private void notifyReleased(
+      final String worker, final Pending known, final DropEvidence evidence, final long now) {
+    known.tasks().stream()
+        .filter(task -> !blocked.contains(task))
+        .forEach(task -> drops.taskReleased(task, worker, evidence, now));
+  }
+
   /**
    * Returns whether a task may be running on a worker that has not been polled.
    *
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -15,6 +15,7 @@
   private final RunNumbers numbers;
   private final FinishedRunProcessor finishedRuns;
   private final DuplicateRuns duplicates;
+  private final DropListener drops;
 
   /**
    * Creates a tracker.
@@ -23,9 +24,21 @@
    * @param numbers assigns run numbers
    */
   public RunTracker(final JobRegistry jobs, final RunNumbers numbers) {
+    this(jobs, numbers, DropListener.NONE);
+  }
+
+  /**
+   * Creates a tracker that reports the runs that it drops.
+   *
+   * @param jobs all jobs
+   * @param numbers assigns run numbers
+   * @param drops is told of each run that is dropped without its end
+   */
+  public RunTracker(final JobRegistry jobs, final RunNumbers numbers, final DropListener drops) {
     this.jobs = jobs;
     this.numbers = numbers;
-    this.finishedRuns = new FinishedRunProcessor(jobs, this);
+    this.drops = drops;
+    this.finishedRuns = new FinishedRunProcessor(jobs, this, drops);
     this.duplicates = new DuplicateRuns(this);
   }
 
@@ -53,7 +66,7 @@
       final Task task, final WorkerState worker, final int number, final long now) {
     final int run = number > 0 ? number : numbers.nextAfter(task.lastRunNumber());
     final TaskRun started = new TaskRun(task, run, worker, now);
-    task.recordRunNumber(run);
+    task.recordRun(run, worker.id());
     task.runs().add(started);
     task.step().job().activity().recordStart();
     task.step().job().account().add(task.step().spec().demand());
@@ -90,10 +103,11 @@
    * Records that a start command certainly had no effect.
    *
    * @param run the run
+   * @param evidence the answer, or why there was none
    * @param now monotonic time in ns
    */
-  public void startRejected(final TaskRun run, final long now) {
-    drop(run, now);
+  public void startRejected(final TaskRun run, final DropEvidence evidence, final long now) {
+    dropWithoutEnd(run, evidence, now);
     if (run.task().step().spec().gang()) {
       stopGang(run.task().step(), run.number(), "another gang member could not start");
     }
@@ -178,10 +192,11 @@
    * Records that all runs of a worker have ended and that their outcomes can no longer be read.
    *
    * @param worker the worker
+   * @param evidence what shows it
    * @param now monotonic time in ns
    */
-  public void workerLost(final WorkerState worker, final long now) {
-    List.copyOf(worker.runs()).forEach(run -> runLost(run, now));
+  public void workerLost(final WorkerState worker, final DropEvidence evidence, final long now) {
+    List.copyOf(worker.runs()).forEach(run -> runLost(run, evidence, now));
   }
 
   /**
@@ -190,12 +205,14 @@
    * report of that one shows whether it has the run.
    *
    * @param worker the worker
+   * @param evidence what shows it
    * @param now monotonic time in ns
    */
-  public void workerRestarted(final WorkerState worker, final long now) {
+  public void workerRestarted(
+      final WorkerState worker, final DropEvidence evidence, final long now) {
     for (final TaskRun run : List.copyOf(worker.runs())) {
       if (run.isListed()) {
-        runLost(run, now);
+        runLost(run, evidence, now);
       } else {
         run.forgetIncarnation();
         if (run.phase() == RunPhase.STOPPING) {
@@ -206,8 +223,8 @@
     worker.reset();
   }
 
-  private void runLost(final TaskRun run, final long now) {
-    drop(run, now);
+  private void runLost(final TaskRun run, final DropEvidence evidence, final long now) {
+    dropWithoutEnd(run, evidence, now);
     final StepRun step = run.task().step();
     if (step.spec().gang()) {
       stopGang(step, run.number(), "another gang member was lost");
@@ -258,7 +275,9 @@
               && run.startExpiry() > 0
               && worker.clock().lowerBound(sentAt) > run.startExpiry();
       if (confirmed || expired) {
-        drop(run, now);
+        final DropReason reason = confirmed ? DropReason.NOT_REPORTED : DropReason.START_EXPIRED;
+        final String seen = "complete report with " + reported.size() + " runs";
+        dropWithoutEnd(run, new DropEvidence(reason, seen, sentAt), now);
       }
     }
   }
@@ -277,15 +296,21 @@
     }
   }
 
+  private void dropWithoutEnd(final TaskRun run, final DropEvidence evidence, final long now) {
+    if (drop(run, now)) {
+      drops.runDropped(run, evidence, now);
+    }
+  }
+
   /**
-   * Removes a run that has ended. The wait of its task goes on if the run has not begun, since a
-   * task whose starts have no effect is still without a run.
+   * Removes a run that has ended; returns false if it was removed before. The wait of its task goes
+   * on if the run has not begun, since a task whose starts have no effect is still without a run.
    */
-  void drop(final TaskRun run, final long now) {
+  boolean drop(final TaskRun run, final long now) {
     run.worker().remove(run);
     final Task task = run.task();
     if (!task.runs().remove(run)) {
-      return;
+      return false;
     }
     task.step().job().activity().recordEnd();
     task.step().job().account().subtract(task.step().spec().demand());
@@ -293,6 +318,7 @@
       task.restartWait(now);
       task.step().job().activity().restartWait(now);
     }
+    return true;
   }
 
   /** Returns the run of a task on a worker, null if there is none with the number. */
--- a/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Scheduler.java
@@ -182,7 +182,7 @@
     final Task first = step.tasks().get(0);
     int number = 0;
     for (final Task task : step.tasks()) {
-      first.recordRunNumber(task.lastRunNumber());
+      first.recordRun(task.lastRunNumber(), task.lastWorker());
     }
     final String checkpoint = gangCheckpoint(step);
     for (int i = 0; i < chosen.size(); i++) {
--- a/policy/src/main/java/org/lentilsail/policy/job/Task.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Task.java
@@ -19,6 +19,7 @@
   private int unnumberedFailures;
 
   private int lastRunNumber;
+  private String lastWorker = "";
   private String checkpoint = "";
   private String lastFailedWorker = "";
   private long failedAt;
@@ -135,12 +136,29 @@
     return failedAt;
   }
 
-  int lastRunNumber() {
+  /**
+   * Returns the latest known run.
+   *
+   * @return its number, 0 if no run is known
+   */
+  public int lastRunNumber() {
     return lastRunNumber;
   }
 
-  void recordRunNumber(final int run) {
-    lastRunNumber = Math.max(lastRunNumber, run);
+  /**
+   * Returns the worker of the latest known run.
+   *
+   * @return id of the worker, empty if no run is known
+   */
+  public String lastWorker() {
+    return lastWorker;
+  }
+
+  void recordRun(final int run, final String worker) {
+    if (run > lastRunNumber) {
+      lastRunNumber = run;
+      lastWorker = worker;
+    }
   }
 
   void markDone() {
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -22,6 +22,10 @@
   static final String SPARE = "spare";
   static final long MILLI = 1_000_000L;
   static final long SECOND = 1_000 * MILLI;
+
+  /** Stands for what shows the end of runs, where the test is not about it. */
+  static final DropEvidence EVIDENCE = new DropEvidence(DropReason.LEASE_EXPIRED, "seen", 0);
+
   static final int CORES = 64_000;
 
   private static final int LONG_RUNNING_CPU_MILLIS = 6_000;
--- a/policy/src/test/java/org/lentilsail/policy/job/PoolSimulation.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/PoolSimulation.java
@@ -83,7 +83,7 @@
   private void begin(final TaskRun run) {
     final Ending ending = endingOf.apply(run);
     if (ending.outcome() == null) {
-      fixture.tracker.startRejected(run, now);
+      fixture.tracker.startRejected(run, JobFixture.EVIDENCE, now);
     } else {
       fixture.tracker.startAccepted(run, now);
       endings.put(run, ending);
--- a/policy/src/test/java/org/lentilsail/policy/job/QuotaLedgerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/QuotaLedgerTest.java
@@ -87,7 +87,7 @@
     fixture.gate.charge(fixture.jobs);
     fixture.submitFor(ACME, "holds", 0, step(1, 1_000, 500));
     assertThat(fixture.place(0), is(empty()));
-    fixture.gate.resolved("lost");
+    fixture.gate.resolved("lost", JobFixture.EVIDENCE, 0);
     assertThat(fixture.place(0), hasSize(1));
   }
 
@@ -98,7 +98,7 @@
     switch (random.nextInt(run == null ? 2 : 10)) {
       case 0 -> fixture.submitFor(ACME, "holds", now, randomStep(random));
       case 1 -> fixture.scheduler.place(now);
-      case 2 -> fixture.tracker.startRejected(run, now);
+      case 2 -> fixture.tracker.startRejected(run, JobFixture.EVIDENCE, now);
       case 3 -> fixture.tracker.startUnconfirmed(run, now);
       case 4 -> fixture.tracker.stop(run, "test");
       case 5 -> fixture.finish(run, RunOutcome.FAILED, now);
@@ -107,7 +107,7 @@
       case 8 -> fixture.jobs.cancel(run.task().id().job(), 0);
       default -> {
         if (random.nextInt(10) == 0) {
-          fixture.tracker.workerRestarted(run.worker(), now);
+          fixture.tracker.workerRestarted(run.worker(), JobFixture.EVIDENCE, now);
           run.worker().markSynced();
         }
       }
@@ -135,7 +135,7 @@
     final List<TaskRun> placed = List.copyOf(worker.runs());
     placed.forEach(run -> fixture.tracker.startUnconfirmed(run, 0));
     fixture.tracker.applyReport(worker, new WorkerReport(1_000, 1, running, List.of()), 0, 0, 0);
-    fixture.gate.resolved("w0");
+    fixture.gate.resolved("w0", JobFixture.EVIDENCE, 0);
   }
 
   private Resources used() {
--- a/policy/src/test/java/org/lentilsail/policy/job/RecoveryGateTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RecoveryGateTest.java
@@ -32,7 +32,7 @@
   @Test
   void workerThatIsKnownIsNotBlockedAgain() {
     gate.close(Map.of("w1", List.of(TASK)), 0, LEASE);
-    gate.resolved("w1");
+    gate.resolved("w1", JobFixture.EVIDENCE, 0);
     gate.prolong("w1", 2 * LEASE);
 
     assertThat(gate.blocks(TASK), is(false));
--- a/policy/src/test/java/org/lentilsail/policy/job/RestartedWorkerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RestartedWorkerTest.java
@@ -144,7 +144,7 @@
   }
 
   private void restart() {
-    fixture.tracker.workerRestarted(worker, RESTART);
+    fixture.tracker.workerRestarted(worker, JobFixture.EVIDENCE, RESTART);
   }
 
   private ActiveRun active() {
--- a/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/RunTrackerTest.java
@@ -134,7 +134,7 @@
     final JobRun job = first.submit("holds", 0, JobFixture.gang(2));
     final WorkerState lost = first.worker("b0", BOOKING);
     first.place(0);
-    first.tracker.workerLost(lost, SECOND);
+    first.tracker.workerLost(lost, JobFixture.EVIDENCE, SECOND);
     first.tracker.takeCommands();
     first.worker("b1", BOOKING);
     lost.contact().markUnresponsive(0);
--- a/policy/src/test/java/org/lentilsail/policy/job/SchedulerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/SchedulerTest.java
@@ -180,9 +180,9 @@
     final JobRun job = fixture.submit("holds", 0, step(1, 1_000, 500));
     final TaskId task = job.steps().get(0).tasks().get(0).id();
     fixture.gate.close(Map.of("lost", List.of(task), "found", List.of(task)), SECOND, 6 * SECOND);
-    fixture.gate.resolved("found");
+    fixture.gate.resolved("found", JobFixture.EVIDENCE, 0);
     assertThat(fixture.place(2 * SECOND), is(empty()));
-    fixture.gate.resolved("lost");
+    fixture.gate.resolved("lost", JobFixture.EVIDENCE, 0);
     assertThat(fixture.place(2 * SECOND), hasSize(1));
   }
 
@@ -193,7 +193,7 @@
     final TaskId member = job.steps().get(0).tasks().get(2).id();
     fixture.gate.close(Map.of("lost", List.of(member)), SECOND, 6 * SECOND);
     assertThat(fixture.place(2 * SECOND), is(empty()));
-    fixture.gate.resolved("lost");
+    fixture.gate.resolved("lost", JobFixture.EVIDENCE, 0);
     assertThat(fixture.place(2 * SECOND), hasSize(3));
   }
 
