Keep a worker on the roster until what it has reported is persisted

What callers could see: tasks that had ended as done were started again, and the second run was stopped, after the registry entry of a live worker had been missing for over 2.5 s while progress was not stored (writes refused, unanswered or more jobs than one transaction holds) and the leader changed.

Cause: the leader took a worker without an entry and without runs off the roster although it had its finished runs in memory only. The next leader takes placements of workers outside the roster for those of terminated ones, started the tasks as it opened, and read the ends when the entry was back. With a roster that could not be written the placements went alone, with the same effect if the next leader did not reach the worker at once. The same held for a worker that the list of machines lacks.

Change: a deregistered worker keeps its session until its runs have ended and their effects are persisted. Whatever removes a worker, its placements leave the store only after all progress known by then is persisted, and the roster only after the placements. Reports that a lost worker still owes no longer keep it from being safe to remove.

Cost: no call more. A worker stays on the roster up to 1 s longer (the interval of removals of placements), and as long as progress cannot be stored.

--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -103,9 +103,7 @@
             this::registryLoaded,
             this::workerRemoved,
             election::superseded);
-    placements =
-        new PlacementWriter(
-            context, runTracker, items, workers::send, this::stateChanged, election::superseded);
+    placements = createPlacements();
     machines =
         new MachineControl(
             context,
@@ -132,6 +130,17 @@
         context, jobs, runTracker, cancelledIds, this::inputLoaded, this::stateChanged);
   }
 
+  private PlacementWriter createPlacements() {
+    return new PlacementWriter(
+        context,
+        runTracker,
+        items,
+        workers::send,
+        workers::placementsRemoved,
+        this::stateChanged,
+        election::superseded);
+  }
+
   private PrefixWatcher watcher(
       final String prefix, final PrefixListener listener, final Duration interval) {
     return new PrefixWatcher(
--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -33,7 +33,7 @@
   private final SessionCallbacks callbacks;
   private final WorkerRegistry registry;
   private final Roster roster;
-  private final Consumer<String> onWorkerRemoved;
+  private final Consumer<String> placementRemoval;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> knownWorkers = new HashMap<>();
   private boolean opened;
@@ -47,7 +47,7 @@
       final LeaderItems items,
       final SessionCallbacks callbacks,
       final Runnable loaded,
-      final Consumer<String> onWorkerRemoved,
+      final Consumer<String> placementRemoval,
       final Runnable superseded) {
     this.context = context;
     this.fleet = fleet;
@@ -55,7 +55,7 @@
     this.gate = gate;
     this.items = items;
     this.callbacks = callbacks;
-    this.onWorkerRemoved = onWorkerRemoved;
+    this.placementRemoval = placementRemoval;
     registry = new WorkerRegistry(context, this, loaded);
     roster = new Roster(context, items, this::admitted, superseded);
   }
@@ -82,7 +82,7 @@
     }
     placementsByWorker.keySet().stream()
         .filter(id -> !tasks.containsKey(id))
-        .forEach(onWorkerRemoved);
+        .forEach(placementRemoval);
     gate.close(tasks, claimedAt, maxLeaseNanos());
     registry.expect(tasks.keySet());
   }
@@ -195,9 +195,13 @@
     session.poll();
   }
 
-  /** Removes a deregistered worker once its runs are known to have finished or expired. */
+  /**
+   * Removes a deregistered worker once its runs are known to have finished or expired and their
+   * outcomes are persisted. It may live and have only lost its entry, so its session goes on until
+   * then.
+   */
   private void removeWhenIdle(final WorkerState worker) {
-    if (!worker.isRegistered() && worker.runs().isEmpty() && !gate.isPending(worker.id())) {
+    if (!worker.isRegistered() && worker.isSafeToTerminate() && !gate.isPending(worker.id())) {
       remove(worker.id());
     }
   }
@@ -212,15 +216,30 @@
     }
   }
 
-  /** Removes a worker that is known to have terminated. */
+  /**
+   * Removes a worker that is known to have terminated. The next leader starts the tasks of its
+   * placements again, so these stay in the store until all outcomes received from it are persisted,
+   * and the worker stays on the roster as long as they do.
+   */
   void remove(final String id) {
     final WorkerSession session = sessions.remove(id);
     if (session != null) {
       session.close();
     }
     fleet.remove(id);
-    roster.remove(id);
     gate.resolved(id);
-    onWorkerRemoved.accept(id);
+    callbacks.whenPersisted(
+        () -> {
+          if (fleet.worker(id) == null) {
+            placementRemoval.accept(id);
+          }
+        });
+  }
+
+  /** Takes a worker without placements off the roster, unless it was admitted again. */
+  void placementsRemoved(final String id) {
+    if (fleet.worker(id) == null) {
+      roster.remove(id);
+    }
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/PlacementWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/PlacementWriter.java
@@ -43,6 +43,7 @@
   private final RunTracker runTracker;
   private final LeaderItems items;
   private final Consumer<RunCommand> send;
+  private final Consumer<String> onRemoved;
   private final Runnable stateChanged;
   private final Runnable superseded;
   private final Map<WorkerState, List<RunCommand.Start>> waiting = new LinkedHashMap<>();
@@ -66,12 +67,14 @@
       final RunTracker runTracker,
       final LeaderItems items,
       final Consumer<RunCommand> send,
+      final Consumer<String> onRemoved,
       final Runnable stateChanged,
       final Runnable superseded) {
     this.context = context;
     this.runTracker = runTracker;
     this.items = items;
     this.send = send;
+    this.onRemoved = onRemoved;
     this.stateChanged = stateChanged;
     this.superseded = superseded;
   }
@@ -88,6 +91,8 @@
   void workerRemoved(final String worker) {
     if (items.isPresent(StoreKeys.placement(worker))) {
       terminatedWorkers.add(worker);
+    } else {
+      onRemoved.accept(worker);
     }
   }
 
@@ -118,6 +123,7 @@
           if (outcome == LeaderItems.WriteOutcome.APPLIED) {
             keys.forEach(items::forget);
             terminatedWorkers.removeAll(workers);
+            workers.forEach(onRemoved);
           } else {
             context.log().log("placement-not-removed", "reason", reason);
           }
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -181,6 +181,7 @@
    * @param now monotonic time in ns
    */
   public void workerLost(final WorkerState worker, final long now) {
+    worker.finishedRuns().moreToCome(false);
     List.copyOf(worker.runs()).forEach(run -> runLost(run, now));
   }
 
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
@@ -36,7 +36,7 @@
   private final List<ItemChange> history = new ArrayList<>();
   private final Map<Long, Long> leaseExpiries = new HashMap<>();
   private final Map<Long, Long> timesToLive = new HashMap<>();
-  private final Map<String, StoreFault> faults = new HashMap<>();
+  private final StoreFaults faults = new StoreFaults();
   private final Map<String, LongSupplier> answerDelays = new HashMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
   private long revision = 1;
@@ -90,8 +90,20 @@
    * @param daemon id of the daemon
    * @param fault the fault, {@link StoreFault#NONE} to clear it
    */
-  public synchronized void fault(final String daemon, final StoreFault fault) {
-    faults.put(daemon, fault);
+  public void fault(final String daemon, final StoreFault fault) {
+    faults.set(daemon, fault);
+  }
+
+  /**
+   * Sets the fault of the transactions of a daemon that write or remove items with a prefix, while
+   * the store serves its other calls.
+   *
+   * @param daemon id of the daemon
+   * @param prefix prefix of the keys
+   * @param fault the fault, {@link StoreFault#NONE} to clear it
+   */
+  public void faultWrites(final String daemon, final String prefix, final StoreFault fault) {
+    faults.setOfWrites(daemon, prefix, fault);
   }
 
   /**
@@ -128,7 +140,8 @@
     leaseExpiries
         .values()
         .forEach(
-            expiry -> executor.schedule(this::expire, expiry - time.nanos(), TimeUnit.NANOSECONDS));
+            expiry ->
+                executor.schedule(this::expireLeases, expiry - time.nanos(), TimeUnit.NANOSECONDS));
   }
 
   /** Compacts the history, so that the clients of watches have to read all items again. */
@@ -179,8 +192,8 @@
     return answerDelays.getOrDefault(daemon, () -> 0L).getAsLong();
   }
 
-  synchronized StoreFault faultOf(final String daemon) {
-    return faults.getOrDefault(daemon, StoreFault.NONE);
+  StoreFaults faults() {
+    return faults;
   }
 
   synchronized ItemPage range(final String prefix, final String after) {
@@ -256,7 +269,7 @@
       return false;
     }
     leaseExpiries.put(lease, time.nanos() + timeToLive);
-    executor.schedule(this::expire, timeToLive, TimeUnit.NANOSECONDS);
+    executor.schedule(this::expireLeases, timeToLive, TimeUnit.NANOSECONDS);
     return true;
   }
 
@@ -280,11 +293,7 @@
     notifyWaiters();
   }
 
-  private synchronized void expire() {
-    expireLeases();
-  }
-
-  private void expireLeases() {
+  private synchronized void expireLeases() {
     if (leasesPaused) {
       return;
     }
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStoreClient.java
@@ -57,7 +57,7 @@
 
   @Override
   public CompletableFuture<TransactionResult> commit(final Transaction transaction) {
-    return call(true, () -> commitNow(transaction));
+    return call(true, () -> store.faults().of(daemon, transaction), () -> commitNow(transaction));
   }
 
   @Override
@@ -90,19 +90,28 @@
 
   private <T> CompletableFuture<T> call(
       final boolean isWrite, final Supplier<CompletableFuture<T>> action) {
+    return call(isWrite, () -> store.faults().of(daemon), action);
+  }
+
+  private <T> CompletableFuture<T> call(
+      final boolean isWrite,
+      final Supplier<StoreFault> fault,
+      final Supplier<CompletableFuture<T>> action) {
     final CompletableFuture<T> response = new CompletableFuture<>();
     executor.schedule(
-        () -> receive(isWrite, action, response), NETWORK_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        () -> receive(isWrite, fault, action, response),
+        NETWORK_DELAY_MILLIS,
+        TimeUnit.MILLISECONDS);
     return response;
   }
 
   private <T> void receive(
       final boolean isWrite,
+      final Supplier<StoreFault> fault,
       final Supplier<CompletableFuture<T>> action,
       final CompletableFuture<T> response) {
     store.recordCall(isWrite);
-    final StoreFault fault = store.faultOf(daemon);
-    switch (fault) {
+    switch (fault.get()) {
       case REFUSED -> response.completeExceptionally(failure(ErrorCode.PLATFORM_UNAVAILABLE));
       case SILENT -> failAfterTimeout(isWrite, response);
       case LATE -> {
@@ -120,7 +129,7 @@
               .whenComplete(
                   (value, error) ->
                       executor.schedule(
-                          () -> respond(value, error, isWrite, response),
+                          () -> respond(value, error, isWrite, fault, response),
                           NETWORK_DELAY_MILLIS + (isWrite ? store.answerDelayMillis(daemon) : 0),
                           TimeUnit.MILLISECONDS));
     }
@@ -135,8 +144,9 @@
       final T value,
       final Throwable error,
       final boolean isWrite,
+      final Supplier<StoreFault> fault,
       final CompletableFuture<T> response) {
-    if (store.faultOf(daemon) != StoreFault.NONE) {
+    if (fault.get() != StoreFault.NONE) {
       failAfterTimeout(isWrite, response);
     } else if (error != null) {
       response.completeExceptionally(error);
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -206,6 +206,11 @@
     store.put("servers/" + id, id.getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Removes the entry of a worker, as the store does when its heartbeats do not arrive. */
+  void expireEntry(final String id) {
+    store.remove("servers/" + id);
+  }
+
   /** Adds a machine without a worker. */
   void startMachine(final String id) {
     addMachine(id, "spare", "");
