Block the tasks of placements whose worker the roster lacks

Cause: a new leader took a worker outside the roster for a terminated one. Its absence is only what somebody has decided or lost; nothing shows that the worker has ended.

Change: such placements block their tasks like those of a worker that cannot be polled, until the worker is admitted through its entry and polled, or 1.03 times the longest lease after the claim. Only then are they removed.

Evidence: MissingEntryTest, 6 cases of the new methods; all 6 fail with the former LeaderWorkers.

Cost: no call more. Since a leader removes placements before the roster, it leaves none of this kind itself, so nothing waits in an ordinary hand-over; tasks of a worker that has ended and is outside the roster wait up to 6.2 s.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -36,6 +37,10 @@
   private final Consumer<String> placementRemoval;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> knownWorkers = new HashMap<>();
+
+  /** Workers with persisted placements that the persisted roster lacks. */
+  private final Set<String> unlisted = new LinkedHashSet<>();
+
   private boolean opened;
   private boolean closed;
 
@@ -69,20 +74,23 @@
     return knownWorkers.size();
   }
 
-  /** Restores the workers to which earlier leaders may have assigned tasks. */
+  /**
+   * Restores the workers to which earlier leaders may have assigned tasks. That the roster lacks a
+   * worker does not show that it has ended: an earlier leader removes its placements first. So its
+   * tasks are blocked like those of a worker that cannot be polled.
+   */
   void restore(
       final List<WorkerEntry> members,
       final Map<String, List<TaskId>> placementsByWorker,
       final long claimedAt) {
     roster.restore(members);
-    final Map<String, List<TaskId>> tasks = new HashMap<>();
+    final Map<String, List<TaskId>> tasks = new HashMap<>(placementsByWorker);
+    unlisted.addAll(placementsByWorker.keySet());
     for (final WorkerEntry entry : members) {
-      tasks.put(entry.id(), placementsByWorker.getOrDefault(entry.id(), List.of()));
+      tasks.putIfAbsent(entry.id(), List.of());
+      unlisted.remove(entry.id());
       knownWorkers.putIfAbsent(entry.id(), entry);
     }
-    placementsByWorker.keySet().stream()
-        .filter(id -> !tasks.containsKey(id))
-        .forEach(placementRemoval);
     gate.close(tasks, claimedAt, maxLeaseNanos());
     registry.expect(tasks.keySet());
   }
@@ -115,12 +123,20 @@
 
   void tick(final long now) {
     gate.expire(now);
+    removeUnlisted();
     registry.tick(now);
     Callbacks.forEach(
         "worker session", List.copyOf(sessions.values()), session -> session.tick(now));
     List.copyOf(fleet.workers()).forEach(this::removeWhenIdle);
   }
 
+  /** Removes the placements of workers outside the roster that are not admitted in time. */
+  private void removeUnlisted() {
+    final List<String> resolved = unlisted.stream().filter(id -> !gate.isPending(id)).toList();
+    resolved.forEach(unlisted::remove);
+    resolved.stream().filter(id -> fleet.worker(id) == null).forEach(placementRemoval);
+  }
+
   void send(final RunCommand command) {
     final WorkerSession session = sessions.get(command.run().worker().id());
     if (session != null) {
--- a/standin/src/test/java/org/lentilsail/standin/jobs/MissingEntryTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/MissingEntryTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -24,8 +25,6 @@
  * longer than the leader waits for it, as after an outage of the store.
  */
 class MissingEntryTest {
-  private static final long TASK_MILLIS = 300;
-
   /** Time after which a worker without an entry counts as deregistered, and the next tick. */
   private static final int DEREGISTERED_MILLIS = 2_600;
 
@@ -37,12 +36,15 @@
   /** Job whose task does not end within a test. */
   private static final String LASTING_JOB = "1000000000000001";
 
+  /** How long the tasks of the other jobs take. */
+  private long jobMillis = 300;
+
   private SimulatedDeployment deployment;
   private JobNode second;
 
   @BeforeEach
   void start() {
-    deployment = new SimulatedDeployment(task -> task.job().equals(LASTING_JOB) ? 0 : TASK_MILLIS);
+    deployment = new SimulatedDeployment(task -> task.job().equals(LASTING_JOB) ? 0 : jobMillis);
     deployment.startWorker("w1");
     deployment.startMachineOf("w1");
     second = deployment.startNodes("d1", "d2").get(1);
@@ -170,6 +172,54 @@
     assertThat(deployment.state(second, JOB), is(Optional.of(JobState.COMPLETED)));
   }
 
+  /**
+   * Guards against tasks that run again since the roster lacks their worker, for example as its row
+   * cannot be read: the next leader took such a worker for a terminated one.
+   *
+   * @param taskMillis how long the tasks take that run when the leader is lost
+   * @param backAfterMillis time from the loss of the leader until the entry is back and the next
+   *     leader reaches the worker
+   */
+  @ParameterizedTest
+  @CsvSource({"400, 1300", "400, 2500", "2000, 1300", "2000, 2500", "20000, 2500"})
+  void placementsOfWorkerOutsideTheRosterBlockTheirTasks(
+      final long taskMillis, final int backAfterMillis) {
+    jobMillis = taskMillis;
+    loseLeaderAndRosterWhileTasksRun();
+    deployment.advance(Duration.ofMillis(backAfterMillis));
+    deployment.workers.cut("d2", "w1", false);
+    deployment.writeEntry("w1");
+    deployment.advance(Duration.ofSeconds(10));
+    assertThat(deployment.workers.history().starts(JOB), is(2));
+    assertThat(deployment.store.get("at/w1").isPresent(), is(true));
+  }
+
+  /** Guards against tasks that wait for good for a worker outside the roster that has ended. */
+  @Test
+  void tasksOfEndedWorkerOutsideTheRosterStartAfterTheLongestLease() {
+    jobMillis = 2_000;
+    loseLeaderAndRosterWhileTasksRun();
+    deployment.workers.fail("w1");
+    deployment.advance(SimulatedDeployment.FAIL_OVER.plusMillis(5_000));
+    assertThat(deployment.workers.history().starts(JOB), is(2));
+    deployment.advance(Duration.ofMillis(1_500));
+    assertThat(deployment.workers.history().starts(JOB), is(4));
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(deployment.store.get("at/w1"), is(Optional.empty()));
+  }
+
+  /** Loses the leader, the roster and the entry of the worker that runs the tasks. */
+  private void loseLeaderAndRosterWhileTasksRun() {
+    deployment.submit(second, JOB, SimulatedDeployment.step(2));
+    deployment.advance(Duration.ofMillis(100));
+    deployment.startWorker("w2");
+    deployment.advance(Duration.ofMillis(100));
+    deployment.isolate("d1");
+    deployment.workers.cut("d2", "w1", true);
+    deployment.expireEntry("w1");
+    deployment.store.put("roster", "{\"workers\":[]}".getBytes(StandardCharsets.UTF_8));
+  }
+
   /**
    * Guards against workers that stay on the roster for good: a worker that has ended is taken off
    * it once what it has reported is persisted, also if it had more to report.
