--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -97,9 +97,7 @@
     advice = new AdviceRunner(context, new AdvicePlanner(jobs, fleet), this::stateChanged);
     progressWriter = new ProgressWriter(context, jobs, items, election::superseded);
     workers = createWorkers(runLog);
-    placements =
-        new PlacementWriter(
-            context, runTracker, items, workers::send, this::stateChanged, election::superseded);
+    placements = createPlacements();
     machines =
         new MachineControl(
             context,
@@ -140,6 +138,17 @@
         context, jobs, runTracker, cancelledIds, removedIds, this::inputLoaded, this::stateChanged);
   }
 
+  private PlacementWriter createPlacements() {
+    return new PlacementWriter(
+        context,
+        runTracker,
+        items,
+        workers::send,
+        workers::placementsRemoved,
+        this::stateChanged,
+        election::superseded);
+  }
+
   private PrefixWatcher watcher(
       final String prefix, final PrefixListener listener, final Duration interval) {
     return new PrefixWatcher(
--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -41,14 +42,13 @@
   private final SessionCallbacks callbacks;
   private final WorkerRegistry registry;
   private final Roster roster;
-  private final Consumer<String> onWorkerRemoved;
+  private final Consumer<String> placementRemoval;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> knownWorkers = new HashMap<>();
 
-  /** Tasks of stored placements whose worker is not on the roster, by worker. */
-  private final Map<String, List<TaskId>> unlistedPlacements = new HashMap<>();
+  /** Workers with persisted placements that the persisted roster lacks. */
+  private final Set<String> unlisted = new LinkedHashSet<>();
 
-  private long restoredAt;
   private boolean opened;
   private boolean closed;
 
@@ -61,7 +61,7 @@
       final LeaderItems items,
       final SessionCallbacks callbacks,
       final Runnable loaded,
-      final Consumer<String> onWorkerRemoved,
+      final Consumer<String> placementRemoval,
       final Runnable superseded) {
     this.context = context;
     this.fleet = fleet;
@@ -70,7 +70,7 @@
     this.drops = drops;
     this.items = items;
     this.callbacks = callbacks;
-    this.onWorkerRemoved = onWorkerRemoved;
+    this.placementRemoval = placementRemoval;
     registry = new WorkerRegistry(context, this, loaded);
     roster = new Roster(context, items, this::admitted, superseded);
   }
@@ -84,21 +84,23 @@
     return knownWorkers.size();
   }
 
-  /** Restores the workers to which earlier leaders may have assigned tasks. */
+  /**
+   * Restores the workers to which earlier leaders may have assigned tasks. That the roster lacks a
+   * worker does not show that it has ended: an earlier leader removes its placements first. So its
+   * tasks are blocked like those of a worker that cannot be polled.
+   */
   void restore(
       final List<WorkerEntry> members,
       final Map<String, List<TaskId>> placementsByWorker,
       final long claimedAt) {
     roster.restore(members);
-    final Map<String, List<TaskId>> tasks = new HashMap<>();
+    final Map<String, List<TaskId>> tasks = new HashMap<>(placementsByWorker);
+    unlisted.addAll(placementsByWorker.keySet());
     for (final WorkerEntry entry : members) {
-      tasks.put(entry.id(), placementsByWorker.getOrDefault(entry.id(), List.of()));
+      tasks.putIfAbsent(entry.id(), List.of());
+      unlisted.remove(entry.id());
       knownWorkers.putIfAbsent(entry.id(), entry);
     }
-    restoredAt = context.time().nanos();
-    unlistedPlacements.putAll(placementsByWorker);
-    unlistedPlacements.keySet().removeAll(tasks.keySet());
-    unlistedPlacements.keySet().forEach(onWorkerRemoved);
     gate.close(tasks, claimedAt, maxLeaseNanos());
     registry.expect(tasks.keySet());
   }
@@ -115,22 +117,9 @@
   /** Admits all known workers. */
   void open() {
     opened = true;
-    reportUnlistedPlacements();
     Callbacks.forEach("known worker", List.copyOf(knownWorkers.values()), roster::admit);
   }
 
-  /** Reports the tasks of placements that do not count, once the jobs are known. */
-  private void reportUnlistedPlacements() {
-    final long now = context.time().nanos();
-    unlistedPlacements.forEach(
-        (worker, tasks) -> {
-          final DropEvidence evidence =
-              new DropEvidence(DropReason.NOT_ON_ROSTER, "stored roster", restoredAt);
-          tasks.forEach(task -> drops.taskReleased(task, worker, evidence, now));
-        });
-    unlistedPlacements.clear();
-  }
-
   /** Polls all workers at once, in addition to polls that wait there. */
   void pollAll() {
     Callbacks.forEach("worker session", sessions.values(), WorkerSession::poll);
@@ -144,12 +133,20 @@
 
   void tick(final long now) {
     gate.expire(now);
+    removeUnlisted();
     registry.tick(now);
     Callbacks.forEach(
         "worker session", List.copyOf(sessions.values()), session -> session.tick(now));
     List.copyOf(fleet.workers()).forEach(this::removeWhenIdle);
   }
 
+  /** Removes the placements of workers outside the roster that are not admitted in time. */
+  private void removeUnlisted() {
+    final List<String> resolved = unlisted.stream().filter(id -> !gate.isPending(id)).toList();
+    resolved.forEach(unlisted::remove);
+    resolved.stream().filter(id -> fleet.worker(id) == null).forEach(placementRemoval);
+  }
+
   void send(final RunCommand command) {
     final WorkerSession session = sessions.get(command.run().worker().id());
     if (session != null) {
@@ -227,9 +224,13 @@
     session.poll();
   }
 
-  /** Removes a deregistered worker once its runs are known to have finished or expired. */
+  /**
+   * Removes a deregistered worker once its runs are known to have finished or expired and their
+   * outcomes are persisted. It may live and have only lost its entry, so its session goes on until
+   * then.
+   */
   private void removeWhenIdle(final WorkerState worker) {
-    if (!worker.isRegistered() && worker.runs().isEmpty() && !gate.isPending(worker.id())) {
+    if (!worker.isRegistered() && worker.isSafeToTerminate() && !gate.isPending(worker.id())) {
       remove(
           worker.id(),
           new DropEvidence(
@@ -247,7 +248,11 @@
     }
   }
 
-  /** Removes a worker that is known to have terminated. */
+  /**
+   * Removes a worker that is known to have terminated. The next leader starts the tasks of its
+   * placements again, so these stay in the store until all outcomes received from it are persisted,
+   * and the worker stays on the roster as long as they do.
+   */
   void remove(final String id, final DropEvidence evidence) {
     logRemoved(fleet.worker(id), evidence);
     final WorkerSession session = sessions.remove(id);
@@ -255,9 +260,20 @@
       session.close();
     }
     fleet.remove(id);
-    roster.remove(id);
     gate.resolved(id, evidence, context.time().nanos());
-    onWorkerRemoved.accept(id);
+    callbacks.whenPersisted(
+        () -> {
+          if (fleet.worker(id) == null) {
+            placementRemoval.accept(id);
+          }
+        });
+  }
+
+  /** Takes a worker without placements off the roster, unless it was admitted again. */
+  void placementsRemoved(final String id) {
+    if (fleet.worker(id) == null) {
+      roster.remove(id);
+    }
   }
 
   /** Logs the tasks whose ends only this leader knows; the next one starts them again. */
