Count the longest lease of runs from the last confirmed renewal of the leader

Callers could see a task run again beside its first run, or after that one was done and its end was taken note of. The store had ended the lease of a leader early and did not answer it any more; for 1.05 s it renewed the leases of runs to 6 s from then. The next leader counts 1.03 times the longest lease from its claim, so it started the tasks of the workers that it could not reach while they still ran, and read their ends later.

A poll now grants no more than the longest lease less the time since the last confirmed renewal was sent. The store held the lease then, so the claim of another daemon came later and so does the expiry of its gate. A suspension of the VM too short to end the trust in the lease counts as passed time. A longer gate would have had the same effect and would have delayed every task of an unreachable worker by 1.2 s after each change of the leader.

LeaderLeaseTest has the suspension. The workers of the stand-in now limit leases to 6 s, have a clock that begins anew with each start, and can be 2% slow.

Cost: leases granted during an outage end up to 1.05 s earlier.

--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -114,6 +114,11 @@
     return lease.isRenewalOverdue();
   }
 
+  /** Returns the time in ns for which the store has not confirmed the leadership of this daemon. */
+  long unconfirmedNanos() {
+    return lease.unconfirmedNanos();
+  }
+
   /** Reports that a worker has seen a newer token; the lease is suspect until renewed. */
   void suspectLease() {
     lease.suspect();
--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -191,6 +191,11 @@
         || context.time().nanos() - inputWatcher.lastResponseAt() > MAX_WATCH_SILENCE.toNanos();
   }
 
+  @Override
+  public long unconfirmedNanos() {
+    return election.unconfirmedNanos();
+  }
+
   @Override
   public void fenced() {
     election.suspectLease();
--- a/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderLease.java
@@ -115,10 +115,27 @@
     if (lease == null || suspected) {
       return false;
     }
-    final long monotonicElapsed = time.nanos() - renewedAt;
-    final long wallElapsed = (time.wallMillis() - renewedWallMillis) * NANOS_PER_MILLI;
+    final long monotonicElapsed = monotonicElapsed();
     return monotonicElapsed < lease.ttlMillis() * NANOS_PER_MILLI - SAFETY_MARGIN_NANOS
-        && wallElapsed - monotonicElapsed < SUSPENSION_THRESHOLD_NANOS;
+        && wallElapsed() - monotonicElapsed < SUSPENSION_THRESHOLD_NANOS;
+  }
+
+  /**
+   * Returns the time since the last renewal that the store has confirmed was sent. The lease may
+   * have ended at any moment since, also early. A short suspension of the VM counts.
+   *
+   * @return time in ns
+   */
+  long unconfirmedNanos() {
+    return Math.max(monotonicElapsed(), wallElapsed());
+  }
+
+  private long monotonicElapsed() {
+    return time.nanos() - renewedAt;
+  }
+
+  private long wallElapsed() {
+    return (time.wallMillis() - renewedWallMillis) * NANOS_PER_MILLI;
   }
 
   /**
--- a/library/src/main/java/org/lentilsail/jobs/SessionCallbacks.java
+++ b/library/src/main/java/org/lentilsail/jobs/SessionCallbacks.java
@@ -12,6 +12,12 @@
    */
   boolean isStoreUnreliable();
 
+  /**
+   * Returns the time in ns for which the store has not confirmed the leadership of this daemon;
+   * another daemon may have claimed it at any moment since.
+   */
+  long unconfirmedNanos();
+
   /** Called when a worker has seen a newer fencing token. */
   void fenced();
 
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -19,11 +19,6 @@
  * finished runs and sends commands. Confined to the control thread.
  */
 final class WorkerSession {
-  /**
-   * Lease in ms granted by each poll; longer than a change of leader takes, see docs/platform.md.
-   */
-  private static final long RUN_LEASE_MILLIS = 4_000;
-
   /** Longest wait in ms of a poll at a worker with active runs. */
   private static final long BUSY_WAIT_MILLIS = 700;
 
@@ -53,6 +48,7 @@
   private final SessionCallbacks callbacks;
   private final WorkerCommands commands;
   private final LeaderItems items;
+  private final RunLeases leases;
   private boolean persisting;
 
   /** Sequence number of the last finished run whose effect has to be persisted. */
@@ -78,6 +74,7 @@
     this.runTracker = runTracker;
     this.items = items;
     this.callbacks = callbacks;
+    this.leases = new RunLeases(context, worker, callbacks);
     this.commands = new WorkerCommands(context, worker, runTracker, callbacks, this);
   }
 
@@ -108,13 +105,7 @@
     final int pollNumber = pollCount;
     final long sentAt = context.time().nanos();
     final boolean clockKnown = worker.clock().isKnown();
-    long leaseExpiryMillis = 0;
-    // A failed poll may have been executed, so a poll of an unresponsive worker must not extend the
-    // lease: that would postpone the time at which its runs are known to have ended.
-    if (clockKnown && worker.isResponding() && callbacks.isLeader()) {
-      leaseExpiryMillis = worker.clock().estimate(sentAt) + leaseMillis();
-      worker.leaseExpiry(leaseExpiryMillis);
-    }
+    final long leaseExpiryMillis = leases.grant(sentAt);
     // A worker that did not respond may have started again since, see FinishedRuns.
     final long acknowledged =
         worker.isResponding() ? worker.finishedRuns().pendingAcknowledgement() : 0;
@@ -149,10 +140,7 @@
 
   /** Checks time-based conditions. */
   void tick(final long now) {
-    if (!worker.isResponding()
-        && worker.clock().isKnown()
-        && !worker.runs().isEmpty()
-        && worker.clock().lowerBound(now) > lastExpiry()) {
+    if (!worker.isResponding() && !worker.runs().isEmpty() && leases.haveExpired(now)) {
       context.log().log(
           "worker-lease-expired", "worker", worker.id(), "runs", worker.runs().size());
       runTracker.workerLost(worker, now);
@@ -167,20 +155,6 @@
     persisting = false;
   }
 
-  private long leaseMillis() {
-    return callbacks.isStoreUnreliable()
-        ? context.bounds().maxLeaseMillis()
-        : Math.min(RUN_LEASE_MILLIS, context.bounds().maxLeaseMillis());
-  }
-
-  private long lastExpiry() {
-    long latest = worker.leaseExpiry();
-    for (final TaskRun run : worker.runs()) {
-      latest = Math.max(latest, run.startExpiry());
-    }
-    return latest;
-  }
-
   private void handleReply(final PollReply reply, final SentPoll poll) {
     if (closed) {
       return;
@@ -224,7 +198,7 @@
       worker.finishedRuns().markAcknowledged(poll.acknowledged());
     }
     if (!worker.isSynced()) {
-      recordLongestEarlierLease(report);
+      leases.recordLongestEarlierLease(report);
     }
     final boolean wasResponding = worker.isResponding();
     final long receivedBefore = worker.finishedRuns().lastReceived();
@@ -254,15 +228,6 @@
     }
   }
 
-  /**
-   * Records the latest expiry that an earlier leader can have granted, before the first report of
-   * an incarnation is applied. That leader may have renewed the lease for longer than this one
-   * does, and a shorter renewal does not shorten it. Its fencing token is outdated from now on.
-   */
-  private void recordLongestEarlierLease(final WorkerReport report) {
-    worker.leaseExpiry(report.clockMillis() + context.bounds().maxLeaseMillis());
-  }
-
   /** Stops stuck runs and adjusts the CPU limits of best-effort runs. */
   private void checkRuns(final long now) {
     for (final TaskRun run : StuckRuns.find(worker, now)) {
--- a/library/src/test/java/org/lentilsail/jobs/LeaderLeaseTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/LeaderLeaseTest.java
@@ -67,6 +67,21 @@
     assertThat(lease.isValid(), is(false));
   }
 
+  /**
+   * The store may end the lease while the VM is suspended too shortly for the lease to be invalid.
+   */
+  @Test
+  void shortSuspensionCountsAsUnconfirmed() {
+    final SkewedClocks clocks = new SkewedClocks(time, 1);
+    final LeaderLease suspended =
+        new LeaderLease(store(), executor, clocks, log, TIME_TO_LIVE, () -> {});
+    suspended.hold(new GrantedLease(2, TIME_TO_LIVE.toMillis()), clocks.nanos());
+    time.advance(Duration.ofMillis(400));
+    clocks.wasSuspendedFor(Duration.ofMillis(300));
+    assertThat(suspended.isValid(), is(true));
+    assertThat(suspended.unconfirmedNanos(), is(Duration.ofMillis(400).toNanos()));
+  }
+
   /** A leader that resigns during an outage in which its lease does not expire. */
   @Test
   void isReleasedSoonAfterOutageOfTheStore() {
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -174,6 +174,11 @@
       return false;
     }
 
+    @Override
+    public long unconfirmedNanos() {
+      return 0;
+    }
+
     @Override
     public void fenced() {}
 
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -40,6 +40,11 @@
   /** Number of finished runs that a report lists at most. */
   private final IntSupplier listLimit;
 
+  private final WorkerLeaseTerms leaseTerms;
+
+  /** Monotonic time in ns at which this incarnation, and with it its clock, has started. */
+  private final long startedAt;
+
   private final Map<TaskId, Running> running = new LinkedHashMap<>();
   private final Map<TaskId, Integer> highestFinished = new HashMap<>();
   private final List<FinishedRun> unacknowledged = new ArrayList<>();
@@ -64,8 +69,11 @@
       final RunHistory history,
       final ToLongFunction<TaskId> durations,
       final Predicate<TaskId> failing,
-      final IntSupplier listLimit) {
+      final IntSupplier listLimit,
+      final WorkerLeaseTerms leaseTerms) {
     this.listLimit = listLimit;
+    this.leaseTerms = leaseTerms;
+    this.startedAt = time.nanos();
     this.entry = entry;
     this.time = time;
     this.executor = executor;
@@ -203,8 +211,10 @@
   }
 
   private void extendLease(final long expiry) {
-    leaseExpiry = Math.max(leaseExpiry, expiry);
-    executor.schedule(this::expire, Math.max(1, leaseExpiry - clock() + 1), TimeUnit.MILLISECONDS);
+    leaseExpiry = Math.max(leaseExpiry, Math.min(expiry, clock() + leaseTerms.maxLeaseMillis()));
+    final double remainingMillis = (leaseExpiry - clock() + 1) / leaseTerms.clockRate();
+    executor.schedule(
+        this::expire, Math.max(1, (long) Math.ceil(remainingMillis)), TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -224,7 +234,7 @@
   }
 
   private long clock() {
-    return now() / NANOS_PER_MILLI;
+    return (long) ((now() - startedAt) * leaseTerms.clockRate()) / NANOS_PER_MILLI;
   }
 
   private long now() {
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -29,6 +29,9 @@
   /** Time in ms after which a command without a reply fails. */
   private static final long TIMEOUT_MILLIS = 700;
 
+  /** Longest lease in ms that a worker grants, as in the users' deployments. */
+  private static final long MAX_LEASE_MILLIS = 6_000;
+
   private final TimeSource time;
   private final ScheduledExecutorService executor;
   private final ToLongFunction<TaskId> durations;
@@ -37,6 +40,7 @@
   private final Set<String> cutLinks = new HashSet<>();
   private long lateStartMillis;
   private int listLimit = Integer.MAX_VALUE;
+  private WorkerLeaseTerms leaseTerms = new WorkerLeaseTerms(MAX_LEASE_MILLIS, 1);
   private String unusable = "";
   private Predicate<TaskId> failing = task -> false;
 
@@ -71,7 +75,8 @@
             history,
             durations,
             task -> failing.test(task),
-            () -> listLimit));
+            () -> listLimit,
+            leaseTerms));
   }
 
   /**
@@ -127,6 +132,15 @@
     listLimit = runs;
   }
 
+  /**
+   * Sets the rate of the clocks of workers that start from now on.
+   *
+   * @param rate rate relative to real time; the platform allows 0.98 to 1
+   */
+  public void clockRate(final double rate) {
+    leaseTerms = new WorkerLeaseTerms(MAX_LEASE_MILLIS, rate);
+  }
+
   /**
    * Lets each poll of a worker throw, as a client does that cannot use its address.
    *
