Read the state of earlier leaders in a class of its own

StateLoader reads the state and retries. WorkerSession names the expiry of RunLeases in its evidence.

--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -1,6 +1,5 @@
 package org.lentilsail.jobs;
 
-import static org.lentilsail.concurrent.Callbacks.logged;
 import static org.lentilsail.concurrent.Callbacks.loggedTask;
 
 import java.time.Duration;
@@ -30,9 +29,6 @@
   /** Interval in ms between checks of time-based conditions. */
   private static final long TICK_INTERVAL_MILLIS = 100;
 
-  /** Delay in ms before a failed read of the persisted state is retried. */
-  private static final long LOAD_RETRY_DELAY_MILLIS = 100;
-
   /** Minimum time between two watch requests for submissions. */
   private static final Duration INPUT_WATCH_INTERVAL = Duration.ofMillis(12);
 
@@ -49,6 +45,7 @@
   private final ControlContext context;
   private final Election election;
   private final StoreRetries retries;
+  private final StateLoader stateLoader;
   private final JobRegistry jobs = new JobRegistry();
   private final Fleet fleet = new Fleet();
   private final RecoveryGate gate = new RecoveryGate();
@@ -86,6 +83,7 @@
       final StoreRetries retries) {
     this.context = context;
     this.retries = retries;
+    this.stateLoader = new StateLoader(context, retries, this::restore);
     this.election = election;
     this.term = term;
     this.claimedAt = context.time().nanos();
@@ -162,7 +160,7 @@
   void start() {
     inputWatcher.start();
     registryWatcher.start();
-    load();
+    stateLoader.load();
   }
 
   /** Continues in a later term when no other daemon was leader in between. */
@@ -181,6 +179,7 @@
 
   void close() {
     closed = true;
+    stateLoader.close();
     context.metrics().recordLongestIdleJob(0);
     context.metrics().clearOrganisations();
     inputWatcher.close();
@@ -254,31 +253,13 @@
     progressWriter.whenPersisted(action);
   }
 
-  private void load() {
-    PersistedState.read(context.store())
-        .whenCompleteAsync(
-            logged(
-                (state, failure) -> {
-                  if (closed) {
-                    return;
-                  }
-                  if (failure != null) {
-                    context.log().log("control-load-failed", "reason", failure.getMessage());
-                    retries.schedule(this::load, LOAD_RETRY_DELAY_MILLIS);
-                    return;
-                  }
-                  restore(state);
-                  heldInput.release();
-                  heldRegistry.release();
-                }),
-            context.executor());
-  }
-
   private void restore(final PersistedState state) {
     state.all().forEach(items::track);
     input.restore(state.progress());
     machines.restore(state, claimedAt);
     workers.restore(state.members(), state.placementsByWorker(), claimedAt);
+    heldInput.release();
+    heldRegistry.release();
   }
 
   private void inputLoaded() {
--- a/library/src/main/java/org/lentilsail/jobs/RunLeases.java
+++ b/library/src/main/java/org/lentilsail/jobs/RunLeases.java
@@ -73,7 +73,8 @@
     return worker.clock().isKnown() && worker.clock().lowerBound(now) > lastExpiry();
   }
 
-  private long lastExpiry() {
+  /** Returns the latest expiry of all leases and starts, in ms on the clock of the worker. */
+  long lastExpiry() {
     long latest = worker.leaseExpiry();
     for (final TaskRun run : worker.runs()) {
       latest = Math.max(latest, run.startExpiry());
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -134,7 +134,7 @@
     if (!worker.isResponding() && !worker.runs().isEmpty() && leases.haveExpired(now)) {
       context.log().log(
           "worker-lease-expired", "worker", worker.id(), "runs", worker.runs().size());
-      final DropEvidence evidence = SessionEvidence.leaseExpired(worker, lastExpiry(), now);
+      final DropEvidence evidence = SessionEvidence.leaseExpired(worker, leases.lastExpiry(), now);
       runTracker.workerLost(worker, evidence, now);
       callbacks.workerResolved(worker, evidence);
       callbacks.stateChanged();
