Refuse late calls to the earlier incarnation of a restarted worker

What callers could see (TWICE): tasks run again after they were done, and a second run beside the first one.

Cause: a worker that restarts under its id has seen no fencing token, its clock and the numbers of its finished runs begin anew, and a call names the worker by its id only. A call to the earlier incarnation that is executed late has an effect on the new one, also long after the leader has learned of the restart: an acknowledgement discarded finished runs that the leader had not received, so their tasks started again; a renewal, as a time on the clock of the earlier incarnation, prolonged the lease by up to the longest one, so the leader took the runs for ended while they went on (worker-lease-expired).

Change: the token of a call to a worker is term * 1000 + count. The leader raises the count of a worker when it learns of its restart, and when it removes it, and takes only a report under the raised token for the state of the new incarnation. The worker itself refuses what was sent before.

Cost: one poll more for each restart of a worker, no call to the store; a restarted worker gets tasks one round trip later. One number is kept for each worker that restarted or was removed in the tenure.

Stand-ins: the clock of a worker begins anew with each incarnation, a lease is shortened to 6 s, a late start is executed by the incarnation that the worker has then, and a poll can be held and delivered to it.

In WorkerSessionTest two tests get a second reply after the restart, since the first one only shows it.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
@@ -43,7 +43,7 @@
     term = current;
   }
 
-  /** Returns the term number, which is the fencing token of all commands. */
+  /** Returns the term number, on which the fencing tokens of all commands are based. */
   long token() {
     return term.number();
   }
--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -29,10 +29,10 @@
   private final Fleet fleet;
   private final RunTracker runTracker;
   private final RecoveryGate gate;
-  private final LeaderItems items;
   private final SessionCallbacks callbacks;
   private final WorkerRegistry registry;
   private final Roster roster;
+  private final WorkerTokens tokens;
   private final Consumer<String> onWorkerRemoved;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> knownWorkers = new HashMap<>();
@@ -53,7 +53,7 @@
     this.fleet = fleet;
     this.runTracker = runTracker;
     this.gate = gate;
-    this.items = items;
+    tokens = new WorkerTokens(items);
     this.callbacks = callbacks;
     this.onWorkerRemoved = onWorkerRemoved;
     registry = new WorkerRegistry(context, this, loaded);
@@ -190,7 +190,7 @@
     context.log().log("worker-admitted", "worker", entry.id(), "service", entry.service());
     final WorkerState worker = new WorkerState(entry, context.time().nanos());
     fleet.add(worker);
-    final WorkerSession session = new WorkerSession(context, worker, runTracker, items, callbacks);
+    final WorkerSession session = new WorkerSession(context, worker, runTracker, tokens, callbacks);
     sessions.put(entry.id(), session);
     session.poll();
   }
@@ -218,6 +218,7 @@
     if (session != null) {
       session.close();
     }
+    tokens.raise(id);
     fleet.remove(id);
     roster.remove(id);
     gate.resolved(id);
--- a/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
@@ -67,6 +67,7 @@
     while (!session.isClosed() && inFlight < MAX_IN_FLIGHT && !queue.isEmpty()) {
       final RunCommand command = queue.poll();
       final long sentTo = worker.entry().startTimeMillis();
+      final long token = session.token();
       final CompletableFuture<CommandReply> reply = dispatch(command);
       if (reply != null) {
         inFlight++;
@@ -75,7 +76,7 @@
                 (received, failure) -> {
                   inFlight--;
                   if (!session.isClosed()) {
-                    session.guarded(() -> handleReply(command, received, sentTo));
+                    session.guarded(() -> handleReply(command, received, sentTo, token));
                     sendNext();
                   }
                 }),
@@ -136,13 +137,14 @@
    * it, so one to a command that was sent before a restart became known shows neither the clock of
    * the present incarnation nor that this one has executed a stop.
    */
-  private void handleReply(final RunCommand command, final CommandReply reply, final long sentTo) {
+  private void handleReply(
+      final RunCommand command, final CommandReply reply, final long sentTo, final long token) {
     final long now = context.time().nanos();
     final boolean restarted = !session.isCurrentIncarnation(sentTo);
     if (reply.clockMillis() >= 0 && reply.result() != CommandResult.GONE && !restarted) {
       worker.clock().recordReading(reply.clockMillis(), now);
     }
-    if (reply.result() == CommandResult.FENCED) {
+    if (reply.result() == CommandResult.FENCED && !session.isOutdated(token)) {
       callbacks.fenced();
     }
     if (command instanceof RunCommand.Start) {
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -36,23 +36,12 @@
   /** Delay in ms between polls while finished runs wait to be persisted. */
   private static final long PERSISTING_DELAY_MILLIS = 300;
 
-  /**
-   * A poll in flight.
-   *
-   * @param number number of the poll in this session
-   * @param sentAt monotonic time in ns at which it was sent
-   * @param sentTo start of the incarnation that was known when it was sent, in ms since the Unix
-   *     epoch
-   * @param acknowledged sequence number of the last finished run that it acknowledges, 0 for none
-   */
-  private record SentPoll(int number, long sentAt, long sentTo, long acknowledged) {}
-
   private final ControlContext context;
   private final WorkerState worker;
   private final RunTracker runTracker;
   private final SessionCallbacks callbacks;
   private final WorkerCommands commands;
-  private final LeaderItems items;
+  private final WorkerTokens tokens;
   private boolean persisting;
 
   /** Sequence number of the last finished run whose effect has to be persisted. */
@@ -71,19 +60,19 @@
       final ControlContext context,
       final WorkerState worker,
       final RunTracker runTracker,
-      final LeaderItems items,
+      final WorkerTokens tokens,
       final SessionCallbacks callbacks) {
     this.context = context;
     this.worker = worker;
     this.runTracker = runTracker;
-    this.items = items;
+    this.tokens = tokens;
     this.callbacks = callbacks;
     this.commands = new WorkerCommands(context, worker, runTracker, callbacks, this);
   }
 
-  /** Returns the fencing token of commands. */
+  /** Returns the fencing token of the commands that are sent now. */
   long token() {
-    return items.token();
+    return tokens.current(worker.id());
   }
 
   boolean isClosed() {
@@ -118,7 +107,8 @@
     // A worker that did not respond may have started again since, see FinishedRuns.
     final long acknowledged =
         worker.isResponding() ? worker.finishedRuns().pendingAcknowledgement() : 0;
-    final long sentTo = worker.entry().startTimeMillis();
+    final SentPoll poll =
+        new SentPoll(pollNumber, sentAt, worker.entry().startTimeMillis(), token(), acknowledged);
     final long waitMillis =
         !clockKnown
                 || persisting
@@ -127,14 +117,11 @@
             : worker.runs().isEmpty() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
     context
         .workers()
-        .poll(worker.entry(), new PollRequest(leaseExpiryMillis, token(), acknowledged, waitMillis))
+        .poll(
+            worker.entry(),
+            new PollRequest(leaseExpiryMillis, poll.token(), acknowledged, waitMillis))
         .whenCompleteAsync(
-            logged(
-                (reply, failure) ->
-                    guarded(
-                        () ->
-                            handleReply(
-                                reply, new SentPoll(pollNumber, sentAt, sentTo, acknowledged)))),
+            logged((reply, failure) -> guarded(() -> handleReply(reply, poll))),
             context.executor());
   }
 
@@ -161,10 +148,16 @@
     }
   }
 
-  /** Discards the finished runs of an earlier incarnation of the worker. */
-  private void resetIncarnation(final long now) {
+  /**
+   * Discards the finished runs of an earlier incarnation of the worker, and polls the present one
+   * with a raised token: only a report under this token shows what that one holds, because calls to
+   * the earlier incarnation may have been executed after any report before it.
+   */
+  private void restart(final long now) {
     runTracker.workerRestarted(worker, now);
     persisting = false;
+    tokens.raise(worker.id());
+    poll();
   }
 
   private long leaseMillis() {
@@ -217,12 +210,10 @@
   }
 
   private void applyReport(final WorkerReport report, final SentPoll poll, final long now) {
-    if (!isCurrentIncarnation(report, now)) {
+    if (!isCurrentIncarnation(report, now) || !isCurrentIncarnation(poll.sentTo())) {
       return;
     }
-    if (isCurrentIncarnation(poll.sentTo())) {
-      worker.finishedRuns().markAcknowledged(poll.acknowledged());
-    }
+    worker.finishedRuns().markAcknowledged(poll.acknowledged());
     if (!worker.isSynced()) {
       recordLongestEarlierLease(report);
     }
@@ -287,8 +278,8 @@
     }
     context.log().log("worker-reborn", "worker", worker.id(), "born", report.startTimeMillis());
     worker.restartedBeforeEntry(report.startTimeMillis());
-    resetIncarnation(now);
-    return true;
+    restart(now);
+    return false;
   }
 
   /** Returns whether a call was sent to the incarnation that is known now. */
@@ -296,10 +287,14 @@
     return sentTo == worker.entry().startTimeMillis();
   }
 
+  /** Returns whether this leader has raised its token since it sent a call. */
+  boolean isOutdated(final long sentToken) {
+    return sentToken < token();
+  }
+
   /** Called when the registry shows a later start time of the worker. */
   void workerRestarted() {
-    resetIncarnation(context.time().nanos());
-    poll();
+    restart(context.time().nanos());
     callbacks.stateChanged();
   }
 
@@ -328,6 +323,9 @@
       callbacks.workerGone(worker);
       callbacks.stateChanged();
     } else if (reply.result() == CommandResult.FENCED) {
+      if (isOutdated(poll.token())) {
+        return;
+      }
       callbacks.fenced();
     }
     callFailed(reply.detail());
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -41,6 +41,9 @@
   /** Actions that wait until all progress is persisted. */
   final List<Runnable> awaitingPersistence = new ArrayList<>();
 
+  /** Number of replies that were reported as those of workers with a newer leader. */
+  int fencedCalls;
+
   final RunTracker runTracker;
   final WorkerState worker =
       new WorkerState(
@@ -65,7 +68,11 @@
     runTracker = new RunTracker(jobs, new RunNumbers(1));
     session =
         new WorkerSession(
-            context(), worker, runTracker, new LeaderItems(new Term(1, 1)), new LeaderCallbacks());
+            context(),
+            worker,
+            runTracker,
+            new WorkerTokens(new LeaderItems(new Term(1, 1))),
+            new LeaderCallbacks());
   }
 
   void close() {
@@ -84,13 +91,23 @@
 
   /** Replies to the last poll, and lets the session send the next one. */
   void reply(final WorkerReport report) {
-    workers.lastReply.complete(new PollReply(CommandResult.DONE, Optional.of(report), ""));
+    reply(workers.lastReply, report);
+  }
+
+  /** Replies to a poll, and lets the session send the next one. */
+  void reply(final CompletableFuture<PollReply> poll, final WorkerReport report) {
+    poll.complete(new PollReply(CommandResult.DONE, Optional.of(report), ""));
     executor.advance(Duration.ofMillis(400));
   }
 
   /** Fails the last poll as a worker does that cannot be reached, and lets the session retry. */
   void failPoll(final CommandResult result) {
-    workers.lastReply.complete(new PollReply(result, Optional.empty(), "no reply"));
+    failPoll(workers.lastReply, result);
+  }
+
+  /** Fails a poll, and lets the session retry. */
+  void failPoll(final CompletableFuture<PollReply> poll, final CommandResult result) {
+    poll.complete(new PollReply(result, Optional.empty(), "no reply"));
     executor.advance(Duration.ofMillis(400));
   }
 
@@ -126,7 +143,7 @@
     int stops;
     PollRequest lastPoll;
     CompletableFuture<CommandReply> lastCommand;
-    private CompletableFuture<PollReply> lastReply;
+    CompletableFuture<PollReply> lastReply;
 
     @Override
     public CompletableFuture<CommandReply> start(
@@ -175,7 +192,9 @@
     }
 
     @Override
-    public void fenced() {}
+    public void fenced() {
+      fencedCalls++;
+    }
 
     @Override
     public void stateChanged() {}
--- a/library/src/test/java/org/lentilsail/jobs/WorkerSessionTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/WorkerSessionTest.java
@@ -1,17 +1,23 @@
 package org.lentilsail.jobs;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.lentilsail.policy.job.FinishedRun;
+import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunOutcome;
 import org.lentilsail.policy.job.TaskRun;
 import org.lentilsail.policy.job.WorkerReport;
 import org.lentilsail.worker.CommandResult;
+import org.lentilsail.worker.PollReply;
 
 /** Guards against finished runs that are acknowledged never, or before they were received. */
 class WorkerSessionTest {
@@ -62,6 +68,7 @@
    */
   @Test
   void doesNotAcknowledgeRunForOneOfEarlierIncarnation() {
+    reply(SECOND_START);
     reply(SECOND_START, finished(1, second, RunOutcome.DONE));
     fixture.awaitingPersistence.remove(0).run();
     fixture.session.poll();
@@ -95,11 +102,64 @@
   void workerGetsNoTasksUntilEntryOfItsPresentIncarnationIsKnown() {
     assertThat(fixture.worker.isAvailable(fixture.time.nanos()), is(true));
     reply(SECOND_START);
+    reply(SECOND_START);
     assertThat(fixture.worker.isAvailable(fixture.time.nanos()), is(false));
     fixture.worker.entry(fixture.worker.entry());
     assertThat(fixture.worker.isAvailable(fixture.time.nanos()), is(true));
   }
 
+  /**
+   * Calls to the earlier incarnation may be executed until the present one has received a raised
+   * token, so a report from before that does not show what it holds (found with issue 45).
+   */
+  @Test
+  void reportThatShowsRestartIsAskedForAgainWithRaisedToken() {
+    final long token = fixture.workers.lastPoll.token();
+    reply(SECOND_START, finished(1, second, RunOutcome.DONE));
+    assertThat(fixture.worker.isSynced(), is(false));
+    assertThat(fixture.worker.finishedRuns().lastReceived(), is(0L));
+    assertThat(fixture.workers.lastPoll.token(), greaterThan(token));
+    reply(SECOND_START, finished(1, second, RunOutcome.DONE));
+    assertThat(fixture.worker.isSynced(), is(true));
+    assertThat(fixture.worker.finishedRuns().lastReceived(), is(1L));
+  }
+
+  /** The answer to a poll from before a restart arrives after the registry has shown it. */
+  @Test
+  void reportOfPollFromBeforeRestartIsIgnored() {
+    final CompletableFuture<PollReply> earlier = fixture.workers.lastReply;
+    fixture.restartWorker(SECOND_START);
+    fixture.reply(earlier, report(SECOND_START));
+    assertThat(fixture.worker.isSynced(), is(false));
+    reply(SECOND_START);
+    assertThat(fixture.worker.isSynced(), is(true));
+  }
+
+  /** A worker that refuses an earlier call of this leader does not show another leader. */
+  @Test
+  void onlyCallWithPresentTokenShowsLossOfLeadership() {
+    final CompletableFuture<PollReply> earlier = fixture.workers.lastReply;
+    fixture.restartWorker(SECOND_START);
+    fixture.failPoll(earlier, CommandResult.FENCED);
+    assertThat(fixture.fencedCalls, is(0));
+    assertThat(fixture.worker.isResponding(), is(true));
+    fixture.failPoll(CommandResult.FENCED);
+    assertThat(fixture.fencedCalls, is(1));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"false, 1", "true, 0"})
+  void onlyCommandWithPresentTokenShowsLossOfLeadership(
+      final boolean restarted, final int fencedCalls) {
+    fixture.session.send(new RunCommand.Start(second));
+    if (restarted) {
+      fixture.restartWorker(SECOND_START);
+    }
+    fixture.replyToCommand(CommandResult.FENCED, 2_000);
+    assertThat(fixture.fencedCalls, is(fencedCalls));
+    assertThat(fixture.worker.runs().contains(second), is(false));
+  }
+
   private long acknowledged() {
     return fixture.workers.lastPoll.acknowledgedSequence();
   }
@@ -112,8 +172,12 @@
   }
 
   private void reply(final long startTime, final FinishedRun... finished) {
+    fixture.reply(report(startTime, finished));
+  }
+
+  private WorkerReport report(final long startTime, final FinishedRun... finished) {
     final long clockMillis = 2_000 + fixture.time.nanos() / 1_000_000;
-    fixture.reply(new WorkerReport(clockMillis, startTime, List.of(), List.of(finished)));
+    return new WorkerReport(clockMillis, startTime, List.of(), List.of(finished));
   }
 
   private static FinishedRun finished(
--- a/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/MemoryStore.java
@@ -38,7 +38,7 @@
   private final Map<Long, Long> timesToLive = new HashMap<>();
   private final Map<String, StoreFault> faults = new HashMap<>();
   private final Map<String, LongSupplier> answerDelays = new HashMap<>();
-  private final List<Waiter> waiters = new ArrayList<>();
+  private final List<WaitingWatch> waiters = new ArrayList<>();
   private int pageSize = PAGE_SIZE;
   private long pageDelayMillis;
   private long revision = 1;
@@ -56,15 +56,6 @@
    */
   private record Entry(StoredItem item, long lease) {}
 
-  /**
-   * A watch that waits for a change.
-   *
-   * @param prefix prefix of the keys
-   * @param after revision after which changes are wanted
-   * @param response the response to complete
-   */
-  private record Waiter(String prefix, long after, CompletableFuture<WatchBatch> response) {}
-
   /**
    * Creates an empty store.
    *
@@ -227,7 +218,7 @@
     if (!found.changes().isEmpty()) {
       return CompletableFuture.completedFuture(found);
     }
-    final Waiter waiter = new Waiter(prefix, after, new CompletableFuture<>());
+    final WaitingWatch waiter = new WaitingWatch(prefix, after, new CompletableFuture<>());
     waiters.add(waiter);
     executor.schedule(() -> timeOut(waiter), wait.toMillis(), TimeUnit.MILLISECONDS);
     return waiter.response();
@@ -340,7 +331,7 @@
   }
 
   private void notifyWaiters() {
-    for (final Waiter waiter : List.copyOf(waiters)) {
+    for (final WaitingWatch waiter : List.copyOf(waiters)) {
       final WatchBatch found = changes(waiter.prefix(), waiter.after());
       if (!found.changes().isEmpty()) {
         waiters.remove(waiter);
@@ -349,7 +340,7 @@
     }
   }
 
-  private synchronized void timeOut(final Waiter waiter) {
+  private synchronized void timeOut(final WaitingWatch waiter) {
     if (waiters.remove(waiter)) {
       waiter.response().complete(new WatchBatch(false, List.of(), revision));
     }
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -30,6 +30,9 @@
 final class SimulatedWorker {
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** Longest lease in ms; a longer one is shortened to it. */
+  private static final long MAX_LEASE_MILLIS = 6_000;
+
   private final WorkerEntry entry;
   private final TimeSource time;
   private final ScheduledExecutorService executor;
@@ -44,6 +47,7 @@
   private final Map<TaskId, Integer> highestFinished = new HashMap<>();
   private final List<FinishedRun> unacknowledged = new ArrayList<>();
   private final List<CompletableFuture<Void>> pendingPolls = new ArrayList<>();
+  private final long startedAt;
   private long token;
   private long leaseExpiry;
   private long lastSequence;
@@ -66,6 +70,7 @@
       final Predicate<TaskId> failing,
       final IntSupplier listLimit) {
     this.listLimit = listLimit;
+    this.startedAt = time.nanos();
     this.entry = entry;
     this.time = time;
     this.executor = executor;
@@ -203,7 +208,7 @@
   }
 
   private void extendLease(final long expiry) {
-    leaseExpiry = Math.max(leaseExpiry, expiry);
+    leaseExpiry = Math.max(leaseExpiry, Math.min(expiry, clock() + MAX_LEASE_MILLIS));
     executor.schedule(this::expire, Math.max(1, leaseExpiry - clock() + 1), TimeUnit.MILLISECONDS);
   }
 
@@ -223,8 +228,9 @@
     return new CommandReply(result, clock(), result.name());
   }
 
+  /** Returns the time in ms of a clock that begins anew with each incarnation. */
   private long clock() {
-    return now() / NANOS_PER_MILLI;
+    return 1 + (now() - startedAt) / NANOS_PER_MILLI;
   }
 
   private long now() {
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -1,7 +1,9 @@
 package org.lentilsail.standin.jobs;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -36,6 +38,8 @@
   private final Map<String, SimulatedWorker> workers = new HashMap<>();
   private final Set<String> cutLinks = new HashSet<>();
   private long lateStartMillis;
+  private final List<Runnable> heldPolls = new ArrayList<>();
+  private Predicate<PollRequest> heldPoll = request -> false;
   private int listLimit = Integer.MAX_VALUE;
   private String unusable = "";
   private Predicate<TaskId> failing = task -> false;
@@ -110,7 +114,8 @@
   }
 
   /**
-   * Executes start commands late and leaves them without a reply.
+   * Executes start commands late, by the incarnation that the worker has then, and leaves them
+   * without a reply.
    *
    * @param millis delay in ms, 0 to execute them at once and to reply
    */
@@ -118,6 +123,30 @@
     lateStartMillis = millis;
   }
 
+  /**
+   * Holds the next poll of a kind in the network and leaves it without a reply.
+   *
+   * @param kind the kind
+   */
+  public void holdPoll(final Predicate<PollRequest> kind) {
+    heldPoll = kind;
+  }
+
+  /**
+   * Returns whether a poll is held.
+   *
+   * @return whether a poll of the kind has been sent and not been delivered
+   */
+  public boolean isPollHeld() {
+    return !heldPolls.isEmpty();
+  }
+
+  /** Delivers the held poll to the incarnation that the worker has now, over any cut. */
+  public void deliverHeldPoll() {
+    heldPolls.forEach(Runnable::run);
+    heldPolls.clear();
+  }
+
   /**
    * Limits the finished runs that a report lists; the next ones follow once these are acknowledged.
    *
@@ -206,9 +235,10 @@
     public CompletableFuture<CommandReply> start(
         final WorkerEntry worker, final StartCommand command) {
       if (lateStartMillis > 0 && isReachable(worker)) {
-        final SimulatedWorker target = workers.get(worker.id());
         executor.schedule(
-            () -> startIfAlive(target, command), lateStartMillis, TimeUnit.MILLISECONDS);
+            () -> startIfAlive(workers.get(worker.id()), command),
+            lateStartMillis,
+            TimeUnit.MILLISECONDS);
         return delayed(unconfirmed(), TIMEOUT_MILLIS);
       }
       return call(worker, target -> completed(target.start(command)), unconfirmed());
@@ -235,6 +265,12 @@
       if (worker.id().equals(unusable)) {
         throw new IllegalArgumentException("the address of " + worker.id() + " cannot be used");
       }
+      if (heldPoll.test(request) && isReachable(worker)) {
+        heldPoll = other -> false;
+        heldPolls.add(() -> pollIfAlive(workers.get(worker.id()), request));
+        return delayed(
+            new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"), TIMEOUT_MILLIS);
+      }
       return call(
           worker,
           target -> target.poll(request),
@@ -247,6 +283,12 @@
       }
     }
 
+    private static void pollIfAlive(final SimulatedWorker target, final PollRequest request) {
+      if (target.isAlive()) {
+        target.poll(request);
+      }
+    }
+
     private <T> CompletableFuture<T> call(
         final WorkerEntry worker,
         final Function<SimulatedWorker, CompletableFuture<T>> action,
