--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -3,10 +3,10 @@
 import static org.lentilsail.concurrent.Callbacks.logged;
 
 import java.util.concurrent.TimeUnit;
-import org.lentilsail.policy.job.BestEffortThrottle;
+import org.lentilsail.policy.job.DropEvidence;
+import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunTracker;
-import org.lentilsail.policy.job.StuckRuns;
 import org.lentilsail.policy.job.TaskRun;
 import org.lentilsail.policy.job.WorkerReport;
 import org.lentilsail.policy.job.WorkerState;
@@ -41,6 +41,7 @@
   private final RunTracker runTracker;
   private final SessionCallbacks callbacks;
   private final WorkerCommands commands;
+  private final RunMonitor monitor;
   private final WorkerTokens tokens;
   private boolean persisting;
 
@@ -50,12 +51,6 @@
   private boolean closed;
   private int pollCount;
 
-  /**
-   * Monotonic time in ns of the last change. The initial value lies before any monotonic time and
-   * does not overflow in differences.
-   */
-  private long cpuLimitChangedAt = Long.MIN_VALUE / 2;
-
   WorkerSession(
       final ControlContext context,
       final WorkerState worker,
@@ -68,6 +63,7 @@
     this.tokens = tokens;
     this.callbacks = callbacks;
     this.commands = new WorkerCommands(context, worker, runTracker, callbacks, this);
+    this.monitor = new RunMonitor(context, worker, runTracker, callbacks, commands);
   }
 
   /** Returns the fencing token of the commands that are sent now. */
@@ -142,8 +138,9 @@
         && worker.clock().lowerBound(now) > lastExpiry()) {
       context.log().log(
           "worker-lease-expired", "worker", worker.id(), "runs", worker.runs().size());
-      runTracker.workerLost(worker, now);
-      callbacks.workerResolved(worker);
+      final DropEvidence evidence = SessionEvidence.leaseExpired(worker, lastExpiry(), now);
+      runTracker.workerLost(worker, evidence, now);
+      callbacks.workerResolved(worker, evidence);
       callbacks.stateChanged();
     }
   }
@@ -153,8 +150,8 @@
    * with a raised token: only a report under this token shows what that one holds, because calls to
    * the earlier incarnation may have been executed after any report before it.
    */
-  private void restart(final long now) {
-    runTracker.workerRestarted(worker, now);
+  private void restart(final DropEvidence evidence, final long now) {
+    runTracker.workerRestarted(worker, evidence, now);
     persisting = false;
     tokens.raise(worker.id());
     poll();
@@ -210,7 +207,7 @@
   }
 
   private void applyReport(final WorkerReport report, final SentPoll poll, final long now) {
-    if (!isCurrentIncarnation(report, now) || !isCurrentIncarnation(poll.sentTo())) {
+    if (!isCurrentIncarnation(report, poll.sentAt(), now) || !isCurrentIncarnation(poll.sentTo())) {
       return;
     }
     worker.finishedRuns().markAcknowledged(poll.acknowledged());
@@ -226,7 +223,7 @@
           "worker-answers", "worker", worker.id(), "running", report.running().size());
     }
     if (report.complete()) {
-      callbacks.workerResolved(worker);
+      callbacks.workerResolved(worker, SessionEvidence.reported(report, poll.sentAt()));
     } else {
       callbacks.workerPartlyKnown(worker);
     }
@@ -239,7 +236,7 @@
     } else if (!persisting) {
       worker.finishedRuns().markPersisted(worker.finishedRuns().lastReceived());
     }
-    checkRuns(now);
+    monitor.check(now);
     if (worker.finishedRuns().lastReceived() > receivedBefore || !wasResponding) {
       callbacks.stateChanged();
     }
@@ -254,21 +251,8 @@
     worker.leaseExpiry(report.clockMillis() + context.bounds().maxLeaseMillis());
   }
 
-  /** Stops stuck runs and adjusts the CPU limits of best-effort runs. */
-  private void checkRuns(final long now) {
-    for (final TaskRun run : StuckRuns.find(worker, now)) {
-      context.log().log("run-stuck", "task", run.task().id().text(), "worker", worker.id());
-      runTracker.stop(run, "the run is stuck");
-      callbacks.stateChanged();
-    }
-    for (final RunCommand.SetCpuLimit command :
-        BestEffortThrottle.decide(worker, cpuLimitChangedAt, now)) {
-      cpuLimitChangedAt = now;
-      send(command);
-    }
-  }
-
-  private boolean isCurrentIncarnation(final WorkerReport report, final long now) {
+  private boolean isCurrentIncarnation(
+      final WorkerReport report, final long sentAt, final long now) {
     final long knownStartTime = worker.entry().startTimeMillis();
     if (report.startTimeMillis() == 0 || knownStartTime == report.startTimeMillis()) {
       return true;
@@ -278,7 +262,9 @@
     }
     context.log().log("worker-reborn", "worker", worker.id(), "born", report.startTimeMillis());
     worker.restartedBeforeEntry(report.startTimeMillis());
-    restart(now);
+    restart(
+        SessionEvidence.restarted(DropReason.RESTART_REPORTED, worker, knownStartTime, sentAt),
+        now);
     return false;
   }
 
@@ -292,9 +278,15 @@
     return sentToken < token();
   }
 
-  /** Called when the registry shows a later start time of the worker. */
-  void workerRestarted() {
-    restart(context.time().nanos());
+  /**
+   * Called when the registry shows a later start time of the worker.
+   *
+   * @param earlierStart start of the incarnation that was known, in ms since the Unix epoch
+   */
+  void workerRestarted(final long earlierStart) {
+    final long now = context.time().nanos();
+    restart(
+        SessionEvidence.restarted(DropReason.RESTART_REGISTERED, worker, earlierStart, now), now);
     callbacks.stateChanged();
   }
 
@@ -318,9 +310,11 @@
   private void handleFailure(final PollReply reply, final SentPoll poll, final long now) {
     if (reply.result() == CommandResult.GONE && isCurrentIncarnation(poll.sentTo())) {
       context.log().log("worker-gone", "worker", worker.id(), "reason", reply.detail());
-      runTracker.workerLost(worker, now);
-      callbacks.workerResolved(worker);
-      callbacks.workerGone(worker);
+      final DropEvidence evidence =
+          new DropEvidence(DropReason.WORKER_GONE, "poll: " + reply.detail(), poll.sentAt());
+      runTracker.workerLost(worker, evidence, now);
+      callbacks.workerResolved(worker, evidence);
+      callbacks.workerGone(worker, evidence);
       callbacks.stateChanged();
     } else if (reply.result() == CommandResult.FENCED) {
       if (isOutdated(poll.token())) {
