--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -38,10 +38,10 @@
   private final RunTracker runTracker;
   private final RecoveryGate gate;
   private final DropListener drops;
-  private final LeaderItems items;
   private final SessionCallbacks callbacks;
   private final WorkerRegistry registry;
   private final Roster roster;
+  private final WorkerTokens tokens;
   private final Consumer<String> placementRemoval;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> knownWorkers = new HashMap<>();
@@ -67,8 +67,8 @@
     this.fleet = fleet;
     this.runTracker = runTracker;
     this.gate = gate;
+    tokens = new WorkerTokens(items);
     this.drops = drops;
-    this.items = items;
     this.callbacks = callbacks;
     this.placementRemoval = placementRemoval;
     registry = new WorkerRegistry(context, this, loaded);
@@ -219,7 +219,7 @@
     context.log().log("worker-admitted", "worker", entry.id(), "service", entry.service());
     final WorkerState worker = new WorkerState(entry, context.time().nanos());
     fleet.add(worker);
-    final WorkerSession session = new WorkerSession(context, worker, runTracker, items, callbacks);
+    final WorkerSession session = new WorkerSession(context, worker, runTracker, tokens, callbacks);
     sessions.put(entry.id(), session);
     session.poll();
   }
@@ -259,6 +259,7 @@
     if (session != null) {
       session.close();
     }
+    tokens.raise(id);
     fleet.remove(id);
     gate.resolved(id, evidence, context.time().nanos());
     callbacks.whenPersisted(
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -3,13 +3,10 @@
 import static org.lentilsail.concurrent.Callbacks.logged;
 
 import java.util.concurrent.TimeUnit;
-import org.lentilsail.policy.job.BestEffortThrottle;
 import org.lentilsail.policy.job.DropEvidence;
 import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunTracker;
-import org.lentilsail.policy.job.StuckRuns;
-import org.lentilsail.policy.job.TaskRun;
 import org.lentilsail.policy.job.WorkerReport;
 import org.lentilsail.policy.job.WorkerState;
 import org.lentilsail.worker.CommandResult;
@@ -38,7 +35,8 @@
   private final RunTracker runTracker;
   private final SessionCallbacks callbacks;
   private final WorkerCommands commands;
-  private final LeaderItems items;
+  private final RunMonitor monitor;
+  private final WorkerTokens tokens;
   private final RunLeases leases;
   private boolean persisting;
 
@@ -48,30 +46,25 @@
   private boolean closed;
   private int pollCount;
 
-  /**
-   * Monotonic time in ns of the last change. The initial value lies before any monotonic time and
-   * does not overflow in differences.
-   */
-  private long cpuLimitChangedAt = Long.MIN_VALUE / 2;
-
   WorkerSession(
       final ControlContext context,
       final WorkerState worker,
       final RunTracker runTracker,
-      final LeaderItems items,
+      final WorkerTokens tokens,
       final SessionCallbacks callbacks) {
     this.context = context;
     this.worker = worker;
     this.runTracker = runTracker;
-    this.items = items;
+    this.tokens = tokens;
     this.callbacks = callbacks;
     this.leases = new RunLeases(context, worker, callbacks);
     this.commands = new WorkerCommands(context, worker, runTracker, callbacks, this);
+    this.monitor = new RunMonitor(context, worker, runTracker, callbacks, commands);
   }
 
-  /** Returns the fencing token of commands. */
+  /** Returns the fencing token of the commands that are sent now. */
   long token() {
-    return items.token();
+    return tokens.current(worker.id());
   }
 
   boolean isClosed() {
@@ -100,7 +93,8 @@
     // A worker that did not respond may have started again since, see FinishedRuns.
     final long acknowledged =
         worker.isResponding() ? worker.finishedRuns().pendingAcknowledgement() : 0;
-    final long sentTo = worker.entry().startTimeMillis();
+    final SentPoll poll =
+        new SentPoll(pollNumber, sentAt, worker.entry().startTimeMillis(), token(), acknowledged);
     final long waitMillis =
         !clockKnown
                 || persisting
@@ -109,14 +103,11 @@
             : worker.runs().isEmpty() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
     context
         .workers()
-        .poll(worker.entry(), new PollRequest(leaseExpiryMillis, token(), acknowledged, waitMillis))
+        .poll(
+            worker.entry(),
+            new PollRequest(leaseExpiryMillis, poll.token(), acknowledged, waitMillis))
         .whenCompleteAsync(
-            logged(
-                (reply, failure) ->
-                    guarded(
-                        () ->
-                            handleReply(
-                                reply, new SentPoll(pollNumber, sentAt, sentTo, acknowledged)))),
+            logged((reply, failure) -> guarded(() -> handleReply(reply, poll))),
             context.executor());
   }
 
@@ -141,10 +132,16 @@
     }
   }
 
-  /** Discards the finished runs of an earlier incarnation of the worker. */
-  private void resetIncarnation(final DropEvidence evidence, final long now) {
+  /**
+   * Discards the finished runs of an earlier incarnation of the worker, and polls the present one
+   * with a raised token: only a report under this token shows what that one holds, because calls to
+   * the earlier incarnation may have been executed after any report before it.
+   */
+  private void restart(final DropEvidence evidence, final long now) {
     runTracker.workerRestarted(worker, evidence, now);
     persisting = false;
+    tokens.raise(worker.id());
+    poll();
   }
 
   private void handleReply(final PollReply reply, final SentPoll poll) {
@@ -183,12 +180,10 @@
   }
 
   private void applyReport(final WorkerReport report, final SentPoll poll, final long now) {
-    if (!isCurrentIncarnation(report, poll.sentAt(), now)) {
+    if (!isCurrentIncarnation(report, poll.sentAt(), now) || !isCurrentIncarnation(poll.sentTo())) {
       return;
     }
-    if (isCurrentIncarnation(poll.sentTo())) {
-      worker.finishedRuns().markAcknowledged(poll.acknowledged());
-    }
+    worker.finishedRuns().markAcknowledged(poll.acknowledged());
     if (!worker.isSynced()) {
       leases.recordLongestEarlierLease(report);
     }
@@ -214,26 +209,12 @@
     } else if (!persisting) {
       worker.finishedRuns().markPersisted(worker.finishedRuns().lastReceived());
     }
-    checkRuns(now);
+    monitor.check(now);
     if (worker.finishedRuns().lastReceived() > receivedBefore || !wasResponding) {
       callbacks.stateChanged();
     }
   }
 
-  /** Stops stuck runs and adjusts the CPU limits of best-effort runs. */
-  private void checkRuns(final long now) {
-    for (final TaskRun run : StuckRuns.find(worker, now)) {
-      context.log().log("run-stuck", "task", run.task().id().text(), "worker", worker.id());
-      runTracker.stop(run, "the run is stuck");
-      callbacks.stateChanged();
-    }
-    for (final RunCommand.SetCpuLimit command :
-        BestEffortThrottle.decide(worker, cpuLimitChangedAt, now)) {
-      cpuLimitChangedAt = now;
-      send(command);
-    }
-  }
-
   private boolean isCurrentIncarnation(
       final WorkerReport report, final long sentAt, final long now) {
     final long knownStartTime = worker.entry().startTimeMillis();
@@ -245,10 +226,10 @@
     }
     context.log().log("worker-reborn", "worker", worker.id(), "born", report.startTimeMillis());
     worker.restartedBeforeEntry(report.startTimeMillis());
-    resetIncarnation(
+    restart(
         SessionEvidence.restarted(DropReason.RESTART_REPORTED, worker, knownStartTime, sentAt),
         now);
-    return true;
+    return false;
   }
 
   /** Returns whether a call was sent to the incarnation that is known now. */
@@ -256,6 +237,11 @@
     return sentTo == worker.entry().startTimeMillis();
   }
 
+  /** Returns whether this leader has raised its token since it sent a call. */
+  boolean isOutdated(final long sentToken) {
+    return sentToken < token();
+  }
+
   /**
    * Called when the registry shows a later start time of the worker.
    *
@@ -263,9 +249,8 @@
    */
   void workerRestarted(final long earlierStart) {
     final long now = context.time().nanos();
-    resetIncarnation(
+    restart(
         SessionEvidence.restarted(DropReason.RESTART_REGISTERED, worker, earlierStart, now), now);
-    poll();
     callbacks.stateChanged();
   }
 
@@ -296,6 +281,9 @@
       callbacks.workerGone(worker, evidence);
       callbacks.stateChanged();
     } else if (reply.result() == CommandResult.FENCED) {
+      if (isOutdated(poll.token())) {
+        return;
+      }
       callbacks.fenced();
     }
     callFailed(reply.detail());
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -233,8 +233,9 @@
     return new CommandReply(result, clock(), result.name());
   }
 
+  /** Returns the time in ms of a clock that begins anew with each incarnation. */
   private long clock() {
-    return (long) ((now() - startedAt) * leaseTerms.clockRate()) / NANOS_PER_MILLI;
+    return 1 + (long) ((now() - startedAt) * leaseTerms.clockRate()) / NANOS_PER_MILLI;
   }
 
   private long now() {
