A machine that a list lacks doesn't end the runs of its worker

What callers could see: a task runs twice at the same time, on two workers that are up. The leader can't reach a worker, which goes on under its lease, and a list of machines lacks its machine: within 0.5 s the task starts elsewhere.

Cause: a worker that no row of the list showed as up was taken for ended. A row without the id of a worker was taken for that of another worker, too.

Change: WorkerHosts remembers the machine, its pool and the incarnation of each worker from earlier lists. A silent worker has ended only if the row of its own machine, in a list requested after it fell silent, shows another state than up, another worker or another pool, and no row shows the worker up. Otherwise it waits for its lease. worker-ended and run-dropped show the row.

Why it works: a row that is there was written by the platform for that machine; nothing is concluded from a row that is not there. The machine of an earlier incarnation says nothing of the next one of the same id, which may be elsewhere.

Cost: no call. A worker that ended while its machine left the list waits for its lease.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.lentilsail.concurrent.Callbacks;
@@ -14,9 +13,11 @@
 import org.lentilsail.policy.job.DropListener;
 import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.Fleet;
+import org.lentilsail.policy.job.MachineInventory;
 import org.lentilsail.policy.job.RecoveryGate;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunTracker;
+import org.lentilsail.policy.job.WorkerHosts;
 import org.lentilsail.policy.job.WorkerState;
 
 /**
@@ -42,6 +43,7 @@
   private final WorkerRegistry registry;
   private final Roster roster;
   private final Consumer<String> onWorkerRemoved;
+  private final WorkerHosts hosts = new WorkerHosts();
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> knownWorkers = new HashMap<>();
 
@@ -197,24 +199,34 @@
   }
 
   /**
-   * Treats unresponsive workers that no running machine hosts as terminated, even though they
-   * cannot be polled.
+   * Treats an unresponsive worker as terminated, even though it cannot be polled, if the list shows
+   * another worker on its machine, or that the machine is not up. A worker whose machine the list
+   * lacks waits for its lease.
    */
-  void machinesListed(final Set<String> activeWorkers, final long requestedAt) {
+  void machinesListed(final MachineInventory machines) {
+    hosts.update(machines, this::startTime);
     for (final WorkerState worker : List.copyOf(fleet.workers())) {
       if (!worker.isResponding()
-          && worker.contact().unresponsiveSince() < requestedAt
+          && worker.contact().unresponsiveSince() < machines.requestedAt()
           && (!worker.runs().isEmpty() || gate.isPending(worker.id()))
-          && !activeWorkers.contains(worker.id())) {
-        context.log().log("worker-ended", "worker", worker.id(), "runs", worker.runs().size());
+          && hosts.hasEnded(worker.entry())) {
+        final String seen = hosts.describe(worker.entry());
+        context.log().log(
+            "worker-ended", "worker", worker.id(), "runs", worker.runs().size(), "machine", seen);
         workerEnded(
-            worker.id(),
-            new DropEvidence(DropReason.MACHINE_LIST, "on no machine that is up", requestedAt));
+            worker.id(), new DropEvidence(DropReason.MACHINE_LIST, seen, machines.requestedAt()));
         callbacks.stateChanged();
       }
     }
   }
 
+  /** Returns the start of the known incarnation of a worker, -1 for one that is not known. */
+  private long startTime(final String id) {
+    final WorkerState worker = fleet.worker(id);
+    final WorkerEntry entry = worker == null ? knownWorkers.get(id) : worker.entry();
+    return entry == null ? -1 : entry.startTimeMillis();
+  }
+
   private void admitted(final WorkerEntry entry) {
     if (closed || fleet.worker(entry.id()) != null) {
       return;
--- a/library/src/main/java/org/lentilsail/jobs/MachineControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineControl.java
@@ -1,13 +1,13 @@
 package org.lentilsail.jobs;
 
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
-import java.util.function.ObjLongConsumer;
+import java.util.function.Consumer;
 import org.lentilsail.model.job.WaveRequest;
 import org.lentilsail.policy.job.DropEvidence;
 import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.JobRegistry;
+import org.lentilsail.policy.job.MachineInventory;
 import org.lentilsail.policy.job.RunTracker;
 
 /**
@@ -28,7 +28,7 @@
       final BooleanSupplier isLeader,
       final Runnable stateChanged,
       final BiConsumer<String, DropEvidence> workerEnded,
-      final ObjLongConsumer<Set<String>> onMachinesListed) {
+      final Consumer<MachineInventory> onMachinesListed) {
     directory = new MachineDirectory(context, items, isLeader, onMachinesListed);
     waves =
         new WaveRunner(
--- a/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
+++ b/library/src/main/java/org/lentilsail/jobs/MachineDirectory.java
@@ -2,9 +2,8 @@
 
 import static org.lentilsail.concurrent.Callbacks.logged;
 
-import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.function.ObjLongConsumer;
+import java.util.function.Consumer;
 import org.lentilsail.policy.job.MachineInventory;
 
 /** Refreshes the list of machines periodically. */
@@ -15,7 +14,7 @@
   private final ControlContext context;
   private final MachineInventory machines = new MachineInventory();
   private final MachineCommands commands;
-  private final ObjLongConsumer<Set<String>> onListed;
+  private final Consumer<MachineInventory> onListed;
   private boolean refreshing;
 
   /**
@@ -28,7 +27,7 @@
       final ControlContext context,
       final LeaderItems items,
       final BooleanSupplier isLeader,
-      final ObjLongConsumer<Set<String>> onListed) {
+      final Consumer<MachineInventory> onListed) {
     this.context = context;
     this.onListed = onListed;
     this.commands = new MachineCommands(context, items, isLeader);
@@ -60,7 +59,7 @@
                     context.log().log("machine-list-failed", "reason", failure.getMessage());
                   } else {
                     machines.replace(list, now);
-                    onListed.accept(machines.activeWorkers(), now);
+                    onListed.accept(machines);
                   }
                 }),
             context.executor());
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedMachines.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedMachines.java
@@ -1,9 +1,11 @@
 package org.lentilsail.standin.jobs;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.lentilsail.model.job.Machine;
 import org.lentilsail.worker.MachineClient;
@@ -12,6 +14,7 @@
 /** Simulates the machines of the platform and records the commands that they receive. */
 public final class SimulatedMachines {
   private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Set<String> omitted = new HashSet<>();
   private final List<RecordedCommand> commands = new ArrayList<>();
 
   /**
@@ -33,6 +36,21 @@
     machines.put(machine.id(), machine);
   }
 
+  /**
+   * Leaves a machine out of the lists, as happens when it is shifted from a page that is read later
+   * to one that was read before, or shows it again.
+   *
+   * @param id id of the machine
+   * @param missing whether the lists lack it
+   */
+  public void omit(final String id, final boolean missing) {
+    if (missing) {
+      omitted.add(id);
+    } else {
+      omitted.remove(id);
+    }
+  }
+
   /**
    * Returns the recorded commands.
    *
@@ -52,7 +70,8 @@
     return new MachineClient() {
       @Override
       public CompletableFuture<List<Machine>> list() {
-        return CompletableFuture.completedFuture(List.copyOf(machines.values()));
+        return CompletableFuture.completedFuture(
+            machines.values().stream().filter(machine -> !omitted.contains(machine.id())).toList());
       }
 
       @Override
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -221,6 +221,12 @@
     machines.put(machine("m-" + worker, SERVICE, MachineState.DOWN, ""));
   }
 
+  /** Shows the machine of a worker in the list of machines in another state. */
+  void showMachineOf(
+      final String worker, final String pool, final MachineState state, final String id) {
+    machines.put(machine("m-" + worker, pool, state, id));
+  }
+
   private void addMachine(final String id, final String pool, final String worker) {
     machines.put(machine(id, pool, MachineState.UP, worker));
   }
