The roster tells the next leader on which machine a worker is

What callers could see: after a change of the leader the tasks of a worker that crashed with the leader, or shortly before, wait up to 6.2 s for its lease. Since a list that lacks a machine no longer ends runs, a leader has to know the machine of a worker, and a new one has seen no list that shows the worker.

Change: the roster has the id of the machine of each worker. The leader writes it when a list of machines shows it. A missing id (an earlier version) means that it is not known; earlier versions ignore the field.

Cost: at most one write of the roster for a list (250 ms) that shows new workers.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -88,12 +88,13 @@
 
   /** Restores the workers to which earlier leaders may have assigned tasks. */
   void restore(
-      final List<WorkerEntry> members,
+      final Map<WorkerEntry, String> members,
       final Map<String, List<TaskId>> placementsByWorker,
       final long claimedAt) {
-    roster.restore(members);
+    roster.restore(members.keySet());
+    members.forEach(hosts::restore);
     final Map<String, List<TaskId>> tasks = new HashMap<>();
-    for (final WorkerEntry entry : members) {
+    for (final WorkerEntry entry : members.keySet()) {
       tasks.put(entry.id(), placementsByWorker.getOrDefault(entry.id(), List.of()));
       knownWorkers.putIfAbsent(entry.id(), entry);
     }
@@ -205,6 +206,7 @@
    */
   void machinesListed(final MachineInventory machines) {
     hosts.update(machines, this::startTime);
+    roster.updateMachines(hosts::machineOf);
     for (final WorkerState worker : List.copyOf(fleet.workers())) {
       if (!worker.isResponding()
           && worker.contact().unresponsiveSince() < machines.requestedAt()
--- a/library/src/main/java/org/lentilsail/jobs/PersistedState.java
+++ b/library/src/main/java/org/lentilsail/jobs/PersistedState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -48,14 +49,15 @@
                     machineCommands.join()));
   }
 
-  /** Returns the workers that may have been assigned tasks. */
-  List<WorkerEntry> members() {
-    final List<WorkerEntry> members = new ArrayList<>();
+  /** Returns the workers that may have been assigned tasks, with the ids of their machines. */
+  Map<WorkerEntry, String> members() {
+    final Map<WorkerEntry, String> members = new LinkedHashMap<>();
     roster
         .flatMap(item -> Documents.<RosterDocument>read(Documents.ROSTER, item))
         .ifPresent(
             document ->
-                Callbacks.forEach("roster", document.workers(), row -> members.add(row.entry())));
+                Callbacks.forEach(
+                    "roster", document.workers(), row -> members.put(row.entry(), row.machine())));
     return members;
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -1,5 +1,7 @@
 package org.lentilsail.jobs;
 
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -7,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.model.job.WorkerEntry;
 
@@ -25,6 +28,7 @@
   /** Members of which no confirmed write has persisted that they are on the roster. */
   private final Set<String> unpersisted = new LinkedHashSet<>();
 
+  private final Map<String, String> machines = new HashMap<>();
   private final LeaderItems items;
   private boolean dirty;
   private boolean writeInFlight;
@@ -41,8 +45,26 @@
     this.superseded = superseded;
   }
 
+  /**
+   * Records the machines of the members, so that the next leader finds out by the list of machines
+   * which members have ended.
+   *
+   * @param machineOf returns the machine of a worker, empty if it is not known
+   */
+  void updateMachines(final Function<WorkerEntry, String> machineOf) {
+    boolean changed = false;
+    for (final WorkerEntry member : members.values()) {
+      final String machine = machineOf.apply(member);
+      changed |= !machine.isEmpty() && !machine.equals(machines.put(member.id(), machine));
+    }
+    if (changed) {
+      dirty = true;
+      write();
+    }
+  }
+
   /** Restores the members that an earlier leader has persisted. */
-  void restore(final List<WorkerEntry> persistedMembers) {
+  void restore(final Collection<WorkerEntry> persistedMembers) {
     persistedMembers.forEach(entry -> members.put(entry.id(), entry));
   }
 
@@ -67,6 +89,7 @@
   void remove(final String id) {
     if (members.remove(id) != null) {
       unpersisted.remove(id);
+      machines.remove(id);
       dirty = true;
       write();
     }
@@ -84,7 +107,7 @@
     dirty = false;
     final List<String> newMembers = List.copyOf(unpersisted);
     final RosterDocument document =
-        new RosterDocument(members.values().stream().map(RosterDocument.Row::of).toList());
+        new RosterDocument(members.values().stream().map(this::row).toList());
     items.commit(
         context,
         items.write(items.newTransaction(), StoreKeys.ROSTER, Documents.write(document)),
@@ -97,6 +120,10 @@
         });
   }
 
+  private RosterDocument.Row row(final WorkerEntry member) {
+    return RosterDocument.Row.of(member, machines.getOrDefault(member.id(), ""));
+  }
+
   private void handleOutcome(
       final LeaderItems.WriteOutcome outcome, final List<String> newMembers) {
     switch (outcome) {
--- a/library/src/main/java/org/lentilsail/jobs/RosterDocument.java
+++ b/library/src/main/java/org/lentilsail/jobs/RosterDocument.java
@@ -28,6 +28,7 @@
    * @param capacity resources for tasks
    * @param labels its kind and its rack
    * @param bornMillis start time of its incarnation in ms since the Unix epoch
+   * @param machine id of its machine, empty if it is not known
    */
   record Row(
       String id,
@@ -37,9 +38,15 @@
       String zone,
       Resources capacity,
       List<String> labels,
-      long bornMillis) {
+      long bornMillis,
+      String machine) {
 
-    static Row of(final WorkerEntry entry) {
+    /** Replaces a missing machine, as earlier versions write it. */
+    Row {
+      machine = machine == null ? "" : machine;
+    }
+
+    static Row of(final WorkerEntry entry, final String machine) {
       return new Row(
           entry.id(),
           entry.service(),
@@ -48,7 +55,8 @@
           entry.zone(),
           entry.capacity(),
           entry.labels(),
-          entry.startTimeMillis());
+          entry.startTimeMillis(),
+          machine);
     }
 
     WorkerEntry entry() {
--- a/policy/src/main/java/org/lentilsail/policy/job/WorkerHosts.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/WorkerHosts.java
@@ -23,7 +23,7 @@
    * The machine of an incarnation of a worker; a later one may be on another machine.
    *
    * @param machine id of the machine
-   * @param pool pool of the machine when it was seen with the worker
+   * @param pool pool of the machine when it was seen with the worker, empty if not known
    * @param startTimeMillis start of the incarnation in ms since the Unix epoch
    */
   private record Host(String machine, String pool, long startTimeMillis) {}
@@ -77,7 +77,7 @@
     }
     return machine.state() != MachineState.UP
         || !machine.worker().isEmpty()
-        || !machine.pool().equals(host.pool());
+        || !host.pool().isEmpty() && !machine.pool().equals(host.pool());
   }
 
   /**
@@ -95,6 +95,27 @@
             .strip();
   }
 
+  /**
+   * Returns the machine of a worker.
+   *
+   * @param worker registry entry of the worker
+   * @return id of the machine, empty if it is not known
+   */
+  public String machineOf(final WorkerEntry worker) {
+    final Host host = host(worker);
+    return host == null ? "" : host.machine();
+  }
+
+  /**
+   * Restores the machine of a worker that an earlier leader knew.
+   *
+   * @param worker registry entry of the worker
+   * @param machine id of the machine
+   */
+  public void restore(final WorkerEntry worker, final String machine) {
+    hosts.put(worker.id(), new Host(machine, "", worker.startTimeMillis()));
+  }
+
   private Host host(final WorkerEntry worker) {
     final Host host = hosts.get(worker.id());
     return host == null || host.startTimeMillis() != worker.startTimeMillis() ? null : host;
--- a/standin/src/test/java/org/lentilsail/standin/jobs/MachineListTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/MachineListTest.java
@@ -108,6 +108,18 @@
     assertThat(deployment.workers.runs("w2"), is(1));
   }
 
+  /** The next leader has seen no list that shows the worker on its machine. */
+  @ParameterizedTest
+  @CsvSource({"DOWN, ''", "DOWN, w1", "UP, w3"})
+  void newLeaderFindsWorkerThatCrashedBeforeItsFirstList(
+      final MachineState state, final String worker) {
+    deployment.workers.crash("w1");
+    deployment.showMachineOf("w1", "booking", state, worker);
+    deployment.isolate("d1");
+    deployment.advance(SimulatedDeployment.FAIL_OVER.plus(SEVERAL_LISTS));
+    assertThat(deployment.workers.runs("w2"), is(1));
+  }
+
   /** A row without the id of a worker does not tell which one the machine has. */
   @Test
   void rowWithoutWorkerDoesNotEndRuns() {
