A machine that a list lacks still counts as down for its wave

Lists of machines are read in pages; one that lacks the machine under maintenance counted it as back, and the next one was ordered.

Cause: Wave.isBack took a missing row for a machine that has left.

Change: only a row that is up with another worker shows that a machine is back. A machine that has left for good is skipped when lists have lacked it for 2 s, as before, and doesn't hold up its wave.

Cost: a wave with a machine that leaves during its maintenance waits up to 2 s.

--- a/policy/src/main/java/org/lentilsail/policy/job/Wave.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/Wave.java
@@ -159,14 +159,18 @@
         && now >= retryAt.getOrDefault(machine, Long.MIN_VALUE);
   }
 
+  /**
+   * Returns whether a list shows that a machine is back. One that it lacks may still be down; a
+   * machine that has left for good is skipped after a while.
+   */
   private static boolean isBack(
       final Map.Entry<String, DownMachine> entry, final MachineInventory machines) {
     if (machines.requestedAt() < entry.getValue().earliestBack()) {
       return false;
     }
     final Machine machine = machines.machine(entry.getKey());
-    return machine == null
-        || (machine.state() == MachineState.UP
-            && (machine.worker().isEmpty() || !machine.worker().equals(entry.getValue().worker())));
+    return machine != null
+        && machine.state() == MachineState.UP
+        && (machine.worker().isEmpty() || !machine.worker().equals(entry.getValue().worker()));
   }
 }
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -119,6 +119,12 @@
     machines.replace(currentMachines, now);
   }
 
+  /** Updates the inventory with a list that lacks a machine, as it is read in pages. */
+  void updateMachinesWithout(final String machine, final long now) {
+    machines.replace(
+        currentMachines.stream().filter(other -> !other.id().equals(machine)).toList(), now);
+  }
+
   /** Creates an organisation without quota. */
   static Organisation organisation(final String name, final double weight) {
     return new Organisation(name, List.of(), weight, Resources.NONE);
--- a/policy/src/test/java/org/lentilsail/policy/job/WavePlannerTest.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/WavePlannerTest.java
@@ -1,8 +1,10 @@
 package org.lentilsail.policy.job;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.lentilsail.policy.job.JobFixture.SECOND;
 
 import java.util.List;
@@ -42,6 +44,41 @@
     assertThat(plan(wave, 3 * SECOND), hasSize(1));
   }
 
+  /**
+   * Guards against more machines down than the wave permits: a list that lacks the machine under
+   * maintenance let the next one begin.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3})
+  void machineMissingFromListIsNotBack(final int maxUnavailable) {
+    final Wave wave = wave(maxUnavailable, 6);
+    final List<WavePlanner.Maintenance> started = plan(wave, 0);
+    assertThat(started, hasSize(greaterThan(0)));
+    started.forEach(down -> wave.markStarted(down.machine().id(), down.machine().worker(), SECOND));
+    final String missing = started.get(0).machine().id();
+    final int startable = maxUnavailable - started.size();
+
+    fixture.updateMachinesWithout(missing, 2 * SECOND);
+    assertThat(plan(wave, 2 * SECOND), hasSize(lessThanOrEqualTo(startable)));
+
+    fixture.replaceWorker(missing, "new");
+    fixture.updateMachines(3 * SECOND);
+    assertThat(plan(wave, 3 * SECOND), hasSize(greaterThan(0)));
+  }
+
+  /** A machine that has left for good must not hold up its wave. */
+  @Test
+  void waveGoesOnWithoutMachineThatHasLeft() {
+    final Wave wave = wave(1, 2);
+    final WavePlanner.Maintenance first = plan(wave, 0).get(0);
+    wave.markStarted(first.machine().id(), first.machine().worker(), SECOND);
+    for (int second = 2; second <= 4; second++) {
+      fixture.updateMachinesWithout(first.machine().id(), second * SECOND);
+      plan(wave, second * SECOND);
+    }
+    assertThat(plan(wave, 5 * SECOND), hasSize(1));
+  }
+
   @Test
   void countsMachineThatEarlierLeaderMayHaveCommanded() {
     final Wave wave = wave(1, 2);
