A worker whose evacuation is given up gets tasks again

What callers could see: late jobs. A list of machines lacks a machine, or shows it as down, while its worker is being evacuated for a move. The move was forgotten, but the worker stayed cordoned: it got no tasks any more and its machine wasn't moved, until its leader changed. So it was with a worker that started again under its id.

Cause: PoolPlanner removed such a move without uncordoning the worker.

Change: the worker is uncordoned as soon as the move is given up, whatever the reason, if the leader still has it. The planner may choose the machine again.

Cost: none; a worker that has crashed isn't used, since it doesn't respond.

--- a/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/PoolPlanner.java
@@ -171,9 +171,10 @@
       final Move move = moves.next();
       final Machine machine = machines.machine(move.machine().id());
       final WorkerState worker = fleet.worker(move.machine().worker());
-      if (machine == null || machine.state() != MachineState.UP || worker == null) {
+      if (worker == null) {
         moves.remove();
-      } else if (isObsolete(move, pools)) {
+      } else if (machine == null || machine.state() != MachineState.UP || isObsolete(move, pools)) {
+        // The worker may live on, or start again under its id.
         worker.cordoned(false);
         moves.remove();
       } else {
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -119,6 +119,26 @@
     machines.replace(currentMachines, now);
   }
 
+  /** Updates the inventory with a list that shows a machine as crashed. */
+  void updateMachinesWithDown(final String machine, final long now) {
+    machines.replace(
+        currentMachines.stream()
+            .map(
+                other ->
+                    other.id().equals(machine)
+                        ? new Machine(
+                            other.id(),
+                            other.pool(),
+                            MachineState.DOWN,
+                            other.zone(),
+                            other.labels(),
+                            other.capacity(),
+                            "")
+                        : other)
+            .toList(),
+        now);
+  }
+
   /** Updates the inventory with a list that lacks a machine, as it is read in pages. */
   void updateMachinesWithout(final String machine, final long now) {
     machines.replace(
