A list that lacks a machine doesn't show that its move was executed

What callers could see: work that is lost. A move gets no answer and may still be executed; a list that lacks the machine (lists are read in pages) counted as its execution within 250 ms. The worker was uncordoned, got tasks, and the move then ended them.

Change: the row of the machine must show the target pool or another state than up; else the move is given up after 2 s, as it is for a row that hasn't changed.

Evidence: MoveRunnerTest, 1 of 3 cases failed before (missing: isMoving expected true, was false); an unchanged row and one that is moving pass before and after.

Cost: a machine that leaves for good during its move counts as moving for 2 s.

--- a/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
+++ b/library/src/main/java/org/lentilsail/jobs/MoveRunner.java
@@ -84,9 +84,9 @@
               final Machine machine = directory.machines().machine(id);
               final boolean listIsNewer = directory.machines().requestedAt() > entry.answeredAt();
               final boolean moveIsVisible =
-                  machine == null
-                      || machine.pool().equals(entry.move().pool())
-                      || machine.state() != MachineState.UP;
+                  machine != null
+                      && (machine.pool().equals(entry.move().pool())
+                          || machine.state() != MachineState.UP);
               final boolean ended =
                   listIsNewer && moveIsVisible || now - entry.answeredAt() > MOVE_TIMEOUT_NANOS;
               if (ended) {
