--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -15,9 +15,11 @@
 import org.lentilsail.policy.job.DropListener;
 import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.Fleet;
+import org.lentilsail.policy.job.MachineInventory;
 import org.lentilsail.policy.job.RecoveryGate;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunTracker;
+import org.lentilsail.policy.job.WorkerHosts;
 import org.lentilsail.policy.job.WorkerState;
 
 /**
@@ -43,6 +45,7 @@
   private final Roster roster;
   private final WorkerTokens tokens;
   private final Consumer<String> placementRemoval;
+  private final WorkerHosts hosts = new WorkerHosts();
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> knownWorkers = new HashMap<>();
 
@@ -90,13 +93,14 @@
    * tasks are blocked like those of a worker that cannot be polled.
    */
   void restore(
-      final List<WorkerEntry> members,
+      final Map<WorkerEntry, String> members,
       final Map<String, List<TaskId>> placementsByWorker,
       final long claimedAt) {
-    roster.restore(members);
+    roster.restore(members.keySet());
+    members.forEach(hosts::restore);
     final Map<String, List<TaskId>> tasks = new HashMap<>(placementsByWorker);
     unlisted.addAll(placementsByWorker.keySet());
-    for (final WorkerEntry entry : members) {
+    for (final WorkerEntry entry : members.keySet()) {
       tasks.putIfAbsent(entry.id(), List.of());
       unlisted.remove(entry.id());
       knownWorkers.putIfAbsent(entry.id(), entry);
@@ -194,24 +198,35 @@
   }
 
   /**
-   * Treats unresponsive workers that no running machine hosts as terminated, even though they
-   * cannot be polled.
+   * Treats an unresponsive worker as terminated, even though it cannot be polled, if the list shows
+   * another worker on its machine, or that the machine is not up. A worker whose machine the list
+   * lacks waits for its lease.
    */
-  void machinesListed(final Set<String> activeWorkers, final long requestedAt) {
+  void machinesListed(final MachineInventory machines) {
+    hosts.update(machines, this::startTime);
+    roster.updateMachines(hosts::machineOf);
     for (final WorkerState worker : List.copyOf(fleet.workers())) {
       if (!worker.isResponding()
-          && worker.contact().unresponsiveSince() < requestedAt
+          && worker.contact().unresponsiveSince() < machines.requestedAt()
           && (!worker.runs().isEmpty() || gate.isPending(worker.id()))
-          && !activeWorkers.contains(worker.id())) {
-        context.log().log("worker-ended", "worker", worker.id(), "runs", worker.runs().size());
+          && hosts.hasEnded(worker.entry())) {
+        final String seen = hosts.describe(worker.entry());
+        context.log().log(
+            "worker-ended", "worker", worker.id(), "runs", worker.runs().size(), "machine", seen);
         workerEnded(
-            worker.id(),
-            new DropEvidence(DropReason.MACHINE_LIST, "on no machine that is up", requestedAt));
+            worker.id(), new DropEvidence(DropReason.MACHINE_LIST, seen, machines.requestedAt()));
         callbacks.stateChanged();
       }
     }
   }
 
+  /** Returns the start of the known incarnation of a worker, -1 for one that is not known. */
+  private long startTime(final String id) {
+    final WorkerState worker = fleet.worker(id);
+    final WorkerEntry entry = worker == null ? knownWorkers.get(id) : worker.entry();
+    return entry == null ? -1 : entry.startTimeMillis();
+  }
+
   private void admitted(final WorkerEntry entry) {
     if (closed || fleet.worker(entry.id()) != null) {
       return;
--- a/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
+++ b/policy/src/test/java/org/lentilsail/policy/job/JobFixture.java
@@ -119,6 +119,32 @@
     machines.replace(currentMachines, now);
   }
 
+  /** Updates the inventory with a list that shows a machine as crashed. */
+  void updateMachinesWithDown(final String machine, final long now) {
+    machines.replace(
+        currentMachines.stream()
+            .map(
+                other ->
+                    other.id().equals(machine)
+                        ? new Machine(
+                            other.id(),
+                            other.pool(),
+                            MachineState.DOWN,
+                            other.zone(),
+                            other.labels(),
+                            other.capacity(),
+                            "")
+                        : other)
+            .toList(),
+        now);
+  }
+
+  /** Updates the inventory with a list that lacks a machine, as it is read in pages. */
+  void updateMachinesWithout(final String machine, final long now) {
+    machines.replace(
+        currentMachines.stream().filter(other -> !other.id().equals(machine)).toList(), now);
+  }
+
   /** Creates an organisation without quota. */
   static Organisation organisation(final String name, final double weight) {
     return new Organisation(name, List.of(), weight, Resources.NONE);
