Count the expiry of every start for the lease of its worker

A start extends the lease of everything on its worker to its own expiry, also when the worker rejects it for lack of room or as outdated. The leader kept that expiry with the run and dropped both, so it could take the runs of a silent worker for ended up to 1.5 s before their lease expired, and start their tasks again beside them. It needs a worker whose polls fail while starts that were queued behind others still reach it. The expiry now counts for the worker as soon as the start is sent.

A worker of the stand-in that has crashed no longer answers the polls that were waiting there.

Cost: tasks of a silent worker may wait for up to 1.5 s more after a rejected start.

--- a/library/src/main/java/org/lentilsail/jobs/RunLeases.java
+++ b/library/src/main/java/org/lentilsail/jobs/RunLeases.java
@@ -14,6 +14,9 @@
    */
   private static final long RUN_LEASE_MILLIS = 4_000;
 
+  /** Time in ms until a start command expires; a worker rejects it after that. */
+  private static final long START_EXPIRY_MILLIS = 1_500;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final long maxLeaseMillis;
@@ -44,6 +47,21 @@
     return expiryMillis;
   }
 
+  /**
+   * Sets the expiry of a start command. It extends the lease of all runs of the worker, also if the
+   * worker rejects the start or the command is not answered.
+   *
+   * @param run the run
+   * @param sentAt monotonic time in ns at which the command is sent
+   * @return expiry in ms on the clock of the worker
+   */
+  long grantStart(final TaskRun run, final long sentAt) {
+    final long expiryMillis = worker.clock().estimate(sentAt) + START_EXPIRY_MILLIS;
+    run.startExpiry(expiryMillis);
+    worker.leaseExpiry(expiryMillis);
+    return expiryMillis;
+  }
+
   /**
    * Returns the duration in ms of a lease. The next leader counts the longest lease from its claim,
    * so no lease lasts longer than that from the last time at which this daemon is known to have
@@ -70,14 +88,6 @@
    * @return false also while the clock of the worker is not known
    */
   boolean haveExpired(final long now) {
-    return worker.clock().isKnown() && worker.clock().lowerBound(now) > lastExpiry();
-  }
-
-  private long lastExpiry() {
-    long latest = worker.leaseExpiry();
-    for (final TaskRun run : worker.runs()) {
-      latest = Math.max(latest, run.startExpiry());
-    }
-    return latest;
+    return worker.clock().isKnown() && worker.clock().lowerBound(now) > worker.leaseExpiry();
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
@@ -17,9 +17,6 @@
 
 /** Sends commands to one worker and processes the replies. Confined to the control thread. */
 final class WorkerCommands {
-  /** Time in ms until a start command expires; a worker rejects it after that. */
-  private static final long START_EXPIRY_MILLIS = 1_500;
-
   /** Delay in ms before an unconfirmed stop is retried. */
   private static final long STOP_RETRY_DELAY_MILLIS = 250;
 
@@ -36,6 +33,7 @@
   private final WorkerState worker;
   private final RunTracker runTracker;
   private final SessionCallbacks callbacks;
+  private final RunLeases leases;
   private final WorkerSession session;
   private final Deque<RunCommand> queue = new ArrayDeque<>();
   private int inFlight;
@@ -45,11 +43,13 @@
       final WorkerState worker,
       final RunTracker runTracker,
       final SessionCallbacks callbacks,
+      final RunLeases leases,
       final WorkerSession session) {
     this.context = context;
     this.worker = worker;
     this.runTracker = runTracker;
     this.callbacks = callbacks;
+    this.leases = leases;
     this.session = session;
   }
 
@@ -114,8 +114,7 @@
       callbacks.stateChanged();
       return null;
     }
-    final long expiryMillis = worker.clock().estimate(now) + START_EXPIRY_MILLIS;
-    run.startExpiry(expiryMillis);
+    final long expiryMillis = leases.grantStart(run, now);
     final String text = run.task().step().job().submitted().spec().text();
     return context
         .workers()
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -75,7 +75,7 @@
     this.items = items;
     this.callbacks = callbacks;
     this.leases = new RunLeases(context, worker, callbacks);
-    this.commands = new WorkerCommands(context, worker, runTracker, callbacks, this);
+    this.commands = new WorkerCommands(context, worker, runTracker, callbacks, leases, this);
   }
 
   /** Returns the fencing token of commands. */
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -100,6 +100,10 @@
     executor.advance(Duration.ofMillis(300));
   }
 
+  void advance(final Duration step) {
+    executor.advance(step);
+  }
+
   /** Shows the session a later start time of the worker, as the registry does. */
   void restartWorker(final long startTimeMillis) {
     worker.entry(worker.entry().withStartTime(startTimeMillis));
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -269,12 +269,15 @@
       executor.schedule(
           () -> {
             if (isReachable(worker)) {
+              final SimulatedWorker target = workers.get(worker.id());
               action
-                  .apply(workers.get(worker.id()))
+                  .apply(target)
                   .thenAccept(
-                      value ->
-                          delayed(isReachable(worker) ? value : fallback, NETWORK_DELAY_MILLIS)
-                              .thenAccept(reply::complete));
+                      value -> {
+                        final boolean received = target.isAlive() && isReachable(worker);
+                        delayed(received ? value : fallback, NETWORK_DELAY_MILLIS)
+                            .thenAccept(reply::complete);
+                      });
             } else {
               delayed(fallback, TIMEOUT_MILLIS).thenAccept(reply::complete);
             }
