Keep runs that a restarted worker may hold until the longest lease has expired

Callers could see tasks run again, in both ways that the rule names: beside a first run, and after one that was done and whose end was taken note of later. A worker had crashed and started again under its id; the leader, which could not know yet, sent it starts, and then could not reach it. It reckoned the lease by the clock of the earlier incarnation, which runs on from its last reading: 4 s after the last poll it took all runs for ended and started them again, all tasks at one instant (worker-lease-expired). The clock of the new incarnation had begun anew, so the expiry of the start lay far ahead and its runs held the longest lease, 6 s.

Once the restart was known, a command that was answered showed the clock of the new incarnation, of whose leases the leader knew none: it dropped all starts at once. Without such an answer it kept them for good.

A run that no report has listed now counts as ended only when the longest lease has passed since the last call that may have extended it. A listed run belongs to the known incarnation and ends with that one, or with the lease on its clock, as before.

Cost: the tasks of starts that a silent worker has not listed wait for up to 2.2 s longer; none in other cases.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -20,11 +20,6 @@
  * a session for each, and removes workers that have terminated. Confined to the control thread.
  */
 final class LeaderWorkers implements WorkerRegistry.Listener {
-  /** Allowance for a worker clock that runs slow and for the network delay of a command. */
-  private static final double LEASE_MARGIN_FACTOR = 1.03;
-
-  private static final long NANOS_PER_MILLI = 1_000_000L;
-
   private final ControlContext context;
   private final Fleet fleet;
   private final RunTracker runTracker;
@@ -83,17 +78,13 @@
     placementsByWorker.keySet().stream()
         .filter(id -> !tasks.containsKey(id))
         .forEach(onWorkerRemoved);
-    gate.close(tasks, claimedAt, maxLeaseNanos());
+    gate.close(tasks, claimedAt, RunLeases.longestNanos(context.bounds()));
     registry.expect(tasks.keySet());
   }
 
   /** Keeps the tasks of a worker blocked, the lease of whose runs was renewed. */
   void partlyKnown(final WorkerState worker) {
-    gate.prolong(worker.id(), context.time().nanos() + maxLeaseNanos());
-  }
-
-  private long maxLeaseNanos() {
-    return (long) (context.bounds().maxLeaseMillis() * LEASE_MARGIN_FACTOR * NANOS_PER_MILLI);
+    gate.prolong(worker.id(), context.time().nanos() + RunLeases.longestNanos(context.bounds()));
   }
 
   /** Admits all known workers. */
--- a/library/src/main/java/org/lentilsail/jobs/RunLeases.java
+++ b/library/src/main/java/org/lentilsail/jobs/RunLeases.java
@@ -17,15 +17,24 @@
   /** Time in ms until a start command expires; a worker rejects it after that. */
   private static final long START_EXPIRY_MILLIS = 1_500;
 
+  /** Allowance for a worker clock that runs slow and for the network delay of a command. */
+  private static final double MARGIN_FACTOR = 1.03;
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  private final long maxLeaseMillis;
+  private final ControlContext context;
   private final WorkerState worker;
   private final SessionCallbacks callbacks;
 
+  /**
+   * Monotonic time in ns of the last call that may have extended a lease. The initial value lies
+   * before any monotonic time and does not overflow in differences.
+   */
+  private long lastGrantAt = Long.MIN_VALUE / 2;
+
   RunLeases(
       final ControlContext context, final WorkerState worker, final SessionCallbacks callbacks) {
-    this.maxLeaseMillis = context.bounds().maxLeaseMillis();
+    this.context = context;
     this.worker = worker;
     this.callbacks = callbacks;
   }
@@ -42,9 +51,7 @@
     if (!worker.clock().isKnown() || !worker.isResponding() || !callbacks.isLeader()) {
       return 0;
     }
-    final long expiryMillis = worker.clock().estimate(sentAt) + leaseMillis();
-    worker.leaseExpiry(expiryMillis);
-    return expiryMillis;
+    return recordGrant(sentAt, leaseMillis());
   }
 
   /**
@@ -56,9 +63,14 @@
    * @return expiry in ms on the clock of the worker
    */
   long grantStart(final TaskRun run, final long sentAt) {
-    final long expiryMillis = worker.clock().estimate(sentAt) + START_EXPIRY_MILLIS;
-    run.startExpiry(expiryMillis);
+    run.startExpiry(recordGrant(sentAt, START_EXPIRY_MILLIS));
+    return run.startExpiry();
+  }
+
+  private long recordGrant(final long sentAt, final long millis) {
+    final long expiryMillis = worker.clock().estimate(sentAt) + millis;
     worker.leaseExpiry(expiryMillis);
+    lastGrantAt = sentAt;
     return expiryMillis;
   }
 
@@ -68,7 +80,8 @@
    * been the leader: the store may have ended its lease early since.
    */
   private long leaseMillis() {
-    final long longest = maxLeaseMillis - callbacks.unconfirmedNanos() / NANOS_PER_MILLI - 1;
+    final long longest =
+        context.bounds().maxLeaseMillis() - callbacks.unconfirmedNanos() / NANOS_PER_MILLI - 1;
     return callbacks.isStoreUnreliable() ? longest : Math.min(RUN_LEASE_MILLIS, longest);
   }
 
@@ -78,16 +91,28 @@
    * does, and a shorter renewal does not shorten it. Its fencing token is outdated from now on.
    */
   void recordLongestEarlierLease(final WorkerReport report) {
-    worker.leaseExpiry(report.clockMillis() + maxLeaseMillis);
+    worker.leaseExpiry(report.clockMillis() + context.bounds().maxLeaseMillis());
   }
 
   /**
-   * Returns whether the lease of all runs has certainly expired.
+   * Returns whether the lease of a run has certainly expired. A run that no report has listed may
+   * be on a later incarnation of the worker, whose clock has begun anew: only the longest lease
+   * since the last call that may have extended it shows that it has ended.
    *
+   * @param run a run of the worker
    * @param now monotonic time in ns
-   * @return false also while the clock of the worker is not known
+   * @return whether it has ended, if all calls were executed when they arrived
    */
-  boolean haveExpired(final long now) {
-    return worker.clock().isKnown() && worker.clock().lowerBound(now) > worker.leaseExpiry();
+  boolean hasExpired(final TaskRun run, final long now) {
+    final boolean clockKnown = worker.clock().isKnown();
+    if (clockKnown && worker.clock().lowerBound(now) <= worker.leaseExpiry()) {
+      return false;
+    }
+    return run.isListed() ? clockKnown : now - lastGrantAt > longestNanos(context.bounds());
+  }
+
+  /** Returns the time in ns after a call at which no lease that it has extended is valid. */
+  static long longestNanos(final ControlBounds bounds) {
+    return (long) (bounds.maxLeaseMillis() * MARGIN_FACTOR * NANOS_PER_MILLI);
   }
 }
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -2,6 +2,7 @@
 
 import static org.lentilsail.concurrent.Callbacks.logged;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.lentilsail.policy.job.BestEffortThrottle;
 import org.lentilsail.policy.job.RunCommand;
@@ -140,11 +141,17 @@
 
   /** Checks time-based conditions. */
   void tick(final long now) {
-    if (!worker.isResponding() && !worker.runs().isEmpty() && leases.haveExpired(now)) {
-      context.log().log(
-          "worker-lease-expired", "worker", worker.id(), "runs", worker.runs().size());
-      runTracker.workerLost(worker, now);
-      callbacks.workerResolved(worker);
+    if (worker.isResponding()) {
+      return;
+    }
+    final List<TaskRun> expired =
+        worker.runs().stream().filter(run -> leases.hasExpired(run, now)).toList();
+    if (!expired.isEmpty()) {
+      context.log().log("worker-lease-expired", "worker", worker.id(), "runs", expired.size());
+      runTracker.runsLost(expired, now);
+      if (worker.runs().isEmpty()) {
+        callbacks.workerResolved(worker);
+      }
       callbacks.stateChanged();
     }
   }
--- a/library/src/test/java/org/lentilsail/jobs/RunLeasesTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/RunLeasesTest.java
@@ -1,7 +1,9 @@
 package org.lentilsail.jobs;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
@@ -9,6 +11,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lentilsail.policy.job.ActiveRun;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.TaskRun;
@@ -46,6 +49,35 @@
     assertThat(fixture.worker.runs(), not(hasItem(running)));
   }
 
+  /**
+   * The new incarnation of a worker that has not reported yet may have executed starts. The leader
+   * dropped them all as soon as a command had shown the clock of that one, of whose leases it knew
+   * none, and never if no command was answered.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void startsOfRestartedWorkerHoldLongestLease(final boolean clockRead) {
+    listFor(Duration.ofSeconds(6), fixture.startedRun("00000000000000a1"));
+    final TaskRun begun = fixture.startedRun("00000000000000a2");
+    final TaskRun stopped = fixture.startedRun("00000000000000a3");
+    fixture.session.send(new RunCommand.Start(begun));
+    fixture.session.send(new RunCommand.Start(stopped));
+    fixture.restartWorker(2);
+    if (clockRead) {
+      fixture.session.send(new RunCommand.Stop(stopped));
+      fixture.replyToCommand(CommandResult.DONE, 50);
+    }
+    fixture.failPoll(CommandResult.UNKNOWN);
+    fixture.advance(Duration.ofMillis(5_000));
+
+    fixture.session.tick(fixture.time.nanos());
+    assertThat(fixture.worker.runs(), hasItem(begun));
+
+    fixture.advance(Duration.ofMillis(1_200));
+    fixture.session.tick(fixture.time.nanos());
+    assertThat(fixture.worker.runs(), is(empty()));
+  }
+
   /** Lists a run in reports until the lease that an earlier leader may have granted has expired. */
   private void listFor(final Duration time, final TaskRun running) {
     fixture.session.poll();
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -181,7 +181,17 @@
    * @param now monotonic time in ns
    */
   public void workerLost(final WorkerState worker, final long now) {
-    List.copyOf(worker.runs()).forEach(run -> runLost(run, now));
+    runsLost(List.copyOf(worker.runs()), now);
+  }
+
+  /**
+   * Records that runs have ended and that their outcomes can no longer be read.
+   *
+   * @param runs the runs
+   * @param now monotonic time in ns
+   */
+  public void runsLost(final List<TaskRun> runs, final long now) {
+    runs.forEach(run -> runLost(run, now));
   }
 
   /**
--- a/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/TaskRun.java
@@ -178,8 +178,12 @@
     }
   }
 
-  /** Returns whether a report of the present incarnation of the worker has listed the run. */
-  boolean isListed() {
+  /**
+   * Returns whether a report has listed the run.
+   *
+   * @return false if it may be on a later incarnation of the worker than the known one
+   */
+  public boolean isListed() {
     return listed;
   }
 
