--- a/library/src/main/java/org/lentilsail/jobs/SessionEvidence.java
+++ b/library/src/main/java/org/lentilsail/jobs/SessionEvidence.java
@@ -10,9 +10,9 @@
   private SessionEvidence() {}
 
   /** The latest expiry in ms on the clock of an unresponsive worker has passed. */
-  static DropEvidence leaseExpired(
-      final WorkerState worker, final long expiryMillis, final long now) {
-    final String seen = "clock " + worker.clock().lowerBound(now) + " lease " + expiryMillis;
+  static DropEvidence leaseExpired(final WorkerState worker, final long now) {
+    final String seen =
+        "clock " + worker.clock().lowerBound(now) + " lease " + worker.leaseExpiry();
     return new DropEvidence(DropReason.LEASE_EXPIRED, seen, worker.contact().unresponsiveSince());
   }
 
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -2,11 +2,13 @@
 
 import static org.lentilsail.concurrent.Callbacks.logged;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.lentilsail.policy.job.DropEvidence;
 import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunTracker;
+import org.lentilsail.policy.job.TaskRun;
 import org.lentilsail.policy.job.WorkerReport;
 import org.lentilsail.policy.job.WorkerState;
 import org.lentilsail.worker.CommandResult;
@@ -58,7 +60,7 @@
     this.tokens = tokens;
     this.callbacks = callbacks;
     this.leases = new RunLeases(context, worker, callbacks);
-    this.commands = new WorkerCommands(context, worker, runTracker, callbacks, this);
+    this.commands = new WorkerCommands(context, worker, runTracker, callbacks, leases, this);
     this.monitor = new RunMonitor(context, worker, runTracker, callbacks, commands);
   }
 
@@ -122,12 +124,19 @@
 
   /** Checks time-based conditions. */
   void tick(final long now) {
-    if (!worker.isResponding() && !worker.runs().isEmpty() && leases.haveExpired(now)) {
-      context.log().log(
-          "worker-lease-expired", "worker", worker.id(), "runs", worker.runs().size());
-      final DropEvidence evidence = SessionEvidence.leaseExpired(worker, leases.lastExpiry(), now);
-      runTracker.workerLost(worker, evidence, now);
-      callbacks.workerResolved(worker, evidence);
+    if (worker.isResponding()) {
+      return;
+    }
+    final List<TaskRun> expired =
+        worker.runs().stream().filter(run -> leases.hasExpired(run, now)).toList();
+    if (!expired.isEmpty()) {
+      context.log().log("worker-lease-expired", "worker", worker.id(), "runs", expired.size());
+      final DropEvidence evidence = SessionEvidence.leaseExpired(worker, now);
+      runTracker.runsLost(expired, evidence, now);
+      if (worker.runs().isEmpty()) {
+        runTracker.workerLost(worker, evidence, now);
+        callbacks.workerResolved(worker, evidence);
+      }
       callbacks.stateChanged();
     }
   }
