Do not take an outdated address on the roster for the end of a worker

What callers could see: tasks that run on a live worker are started again as the leader changes, after the worker had started again under its id at another address and while its registry entry is missing.

Cause: the roster keeps the entry with which a worker was first admitted. A new leader without a registry entry polls that address; another worker there answers 421, and the leader took all runs of the worker for ended and freed its tasks at once. The answer only speaks of the incarnation that had this address.

Change: a 421 counts for a worker only once this leader has read the entry of the worker or has had a response from it. Until then it is a call without a response, and the tasks stay blocked.

Whether the platform gives an id a new address has not been seen in a record.

Cost: no call more.

--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -225,9 +225,7 @@
 
   @Override
   public void workerGone(final WorkerState worker) {
-    if (!worker.isRegistered()) {
-      workers.remove(worker.id());
-    }
+    workers.workerGone(worker);
   }
 
   @Override
--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -1,6 +1,7 @@
 package org.lentilsail.jobs;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -41,6 +42,9 @@
   /** Workers with persisted placements that the persisted roster lacks. */
   private final Set<String> unlisted = new LinkedHashSet<>();
 
+  /** Workers whose registry entries this leader has read. */
+  private final Set<String> reported = new HashSet<>();
+
   private boolean opened;
   private boolean closed;
 
@@ -152,6 +156,7 @@
       return;
     }
     knownWorkers.put(entry.id(), entry);
+    reported.add(entry.id());
     if (!opened) {
       return;
     }
@@ -232,12 +237,28 @@
     }
   }
 
+  /**
+   * Processes that another worker has responded at the address of a worker. It may be that of an
+   * earlier incarnation: the roster keeps the address with which a worker was first admitted. So
+   * only after an entry or a response of the worker itself this shows that its runs have ended.
+   */
+  void workerGone(final WorkerState worker) {
+    if (!worker.isSynced() && !reported.contains(worker.id())) {
+      return;
+    }
+    runTracker.workerLost(worker, context.time().nanos());
+    gate.resolved(worker.id());
+    if (!worker.isRegistered()) {
+      remove(worker.id());
+    }
+  }
+
   /**
    * Removes a worker that is known to have terminated. The next leader starts the tasks of its
    * placements again, so these stay in the store until all outcomes received from it are persisted,
    * and the worker stays on the roster as long as they do.
    */
-  void remove(final String id) {
+  private void remove(final String id) {
     final WorkerSession session = sessions.remove(id);
     if (session != null) {
       session.close();
--- a/library/src/main/java/org/lentilsail/jobs/SessionCallbacks.java
+++ b/library/src/main/java/org/lentilsail/jobs/SessionCallbacks.java
@@ -24,7 +24,7 @@
   /** Called when a worker has responded and some of its runs are still not known. */
   void workerPartlyKnown(WorkerState worker);
 
-  /** Called when a worker has terminated. */
+  /** Called when another worker has responded at the address of a worker. */
   void workerGone(WorkerState worker);
 
   /** Runs an action once all progress up to now is persisted. */
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -189,7 +189,7 @@
     if (reply.result() == CommandResult.DONE && reply.report().isPresent()) {
       applyReport(reply.report().get(), poll, now);
     } else {
-      handleFailure(reply, poll, now);
+      handleFailure(reply, poll);
     }
     if (poll.number() == pollCount) {
       schedulePoll(reply.result() == CommandResult.DONE);
@@ -320,11 +320,9 @@
     }
   }
 
-  private void handleFailure(final PollReply reply, final SentPoll poll, final long now) {
+  private void handleFailure(final PollReply reply, final SentPoll poll) {
     if (reply.result() == CommandResult.GONE && isCurrentIncarnation(poll.sentTo())) {
       context.log().log("worker-gone", "worker", worker.id(), "reason", reply.detail());
-      runTracker.workerLost(worker, now);
-      callbacks.workerResolved(worker);
       callbacks.workerGone(worker);
       callbacks.stateChanged();
     } else if (reply.result() == CommandResult.FENCED) {
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -209,15 +209,15 @@
         final SimulatedWorker target = workers.get(worker.id());
         executor.schedule(
             () -> startIfAlive(target, command), lateStartMillis, TimeUnit.MILLISECONDS);
-        return delayed(unconfirmed(), TIMEOUT_MILLIS);
+        return delayed(failed(CommandResult.UNKNOWN), TIMEOUT_MILLIS);
       }
-      return call(worker, target -> completed(target.start(command)), unconfirmed());
+      return call(worker, target -> completed(target.start(command)), Client::failed);
     }
 
     @Override
     public CompletableFuture<CommandReply> stop(
         final WorkerEntry worker, final TaskId task, final int run, final long token) {
-      return call(worker, target -> completed(target.stop(task, run, token)), unconfirmed());
+      return call(worker, target -> completed(target.stop(task, run, token)), Client::failed);
     }
 
     @Override
@@ -238,7 +238,7 @@
       return call(
           worker,
           target -> target.poll(request),
-          new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"));
+          result -> new PollReply(result, Optional.empty(), "no reply"));
     }
 
     private static void startIfAlive(final SimulatedWorker target, final StartCommand command) {
@@ -250,11 +250,15 @@
     private <T> CompletableFuture<T> call(
         final WorkerEntry worker,
         final Function<SimulatedWorker, CompletableFuture<T>> action,
-        final T fallback) {
+        final Function<CommandResult, T> failure) {
       final CompletableFuture<T> reply = new CompletableFuture<>();
+      final T fallback = failure.apply(CommandResult.UNKNOWN);
       executor.schedule(
           () -> {
-            if (isReachable(worker)) {
+            if (!isAtAddress(worker)) {
+              delayed(failure.apply(CommandResult.GONE), NETWORK_DELAY_MILLIS)
+                  .thenAccept(reply::complete);
+            } else if (isReachable(worker)) {
               action
                   .apply(workers.get(worker.id()))
                   .thenAccept(
@@ -270,6 +274,12 @@
       return reply;
     }
 
+    /** Returns false for the address of an earlier incarnation, which another worker has taken. */
+    private boolean isAtAddress(final WorkerEntry worker) {
+      final SimulatedWorker target = workers.get(worker.id());
+      return target == null || target.entry().address().equals(worker.address());
+    }
+
     private boolean isReachable(final WorkerEntry worker) {
       final SimulatedWorker target = workers.get(worker.id());
       return target != null && target.isAlive() && !cutLinks.contains(daemon + '/' + worker.id());
@@ -285,8 +295,8 @@
       return CompletableFuture.completedFuture(value);
     }
 
-    private static CommandReply unconfirmed() {
-      return new CommandReply(CommandResult.UNKNOWN, -1, "no reply");
+    private static CommandReply failed(final CommandResult result) {
+      return new CommandReply(result, -1, "no reply");
     }
   }
 }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/MissingEntryTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/MissingEntryTest.java
@@ -220,6 +220,29 @@
     deployment.store.put("roster", "{\"workers\":[]}".getBytes(StandardCharsets.UTF_8));
   }
 
+  /**
+   * Guards against tasks that run again since another worker responds at the address on the roster:
+   * it is that of an earlier incarnation, and says nothing of the runs of the present one.
+   */
+  @ParameterizedTest
+  @CsvSource({"400, 1500", "2000, 1500", "20000, 2500"})
+  void addressOfEarlierIncarnationDoesNotShowThatRunsHaveEnded(
+      final long taskMillis, final int backAfterMillis) {
+    jobMillis = taskMillis;
+    deployment.reviveWorkerElsewhere("w1");
+    deployment.advance(Duration.ofMillis(300));
+    deployment.submit(second, JOB, SimulatedDeployment.step(2));
+    deployment.advance(Duration.ofMillis(100));
+    deployment.startWorker("w2");
+    deployment.advance(Duration.ofMillis(100));
+    deployment.isolate("d1");
+    deployment.expireEntry("w1");
+    deployment.advance(Duration.ofMillis(backAfterMillis));
+    deployment.writeEntry("w1");
+    deployment.advance(Duration.ofSeconds(10));
+    assertThat(deployment.workers.history().starts(JOB), is(2));
+  }
+
   /**
    * Guards against workers that stay on the roster for good: a worker that has ended is taken off
    * it once what it has reported is persisted, also if it had more to report.
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -201,6 +201,25 @@
     writeEntry(id);
   }
 
+  /** Ends a worker and starts it again under the same id at another address, with a new entry. */
+  void reviveWorkerElsewhere(final String id) {
+    final WorkerEntry earlier = entries.get(id);
+    final WorkerEntry entry =
+        new WorkerEntry(
+            id,
+            SERVICE,
+            InetSocketAddress.createUnresolved("10.0.0.2", 80),
+            earlier.zone(),
+            false,
+            earlier.capacity(),
+            earlier.labels(),
+            earlier.startTimeMillis() + 1);
+    workers.fail(id);
+    entries.put(id, entry);
+    workers.start(entry);
+    writeEntry(id);
+  }
+
   /** Writes the latest entry of a worker. */
   void writeEntry(final String id) {
     store.put("servers/" + id, id.getBytes(StandardCharsets.UTF_8));
