Keep the placements of a worker that is admitted again

What callers could see: after a worker was removed and admitted again by the same leader, the next one could start tasks that run there again, as the item of its placements lacked them.

Cause: starts that waited for the removed worker were written to its item beside, or after, those of its readmission; the pending removal of the item was only called off by the next start, not by runs that the worker still had; and an item whose write was not confirmed was not removed, so that its worker left the roster before it.

Change: starts of removed workers are dropped before a batch is written; an item is not removed while its worker is in the fleet; the removal no longer depends on what the leader knows of the item, since the store tells.

Cost: each worker that leaves without placements takes one entry in a removal, at most one transaction a second, and leaves the roster up to 1 s later.

--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -133,6 +133,7 @@
   private PlacementWriter createPlacements() {
     return new PlacementWriter(
         context,
+        fleet,
         runTracker,
         items,
         workers::send,
--- a/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
@@ -71,11 +71,6 @@
     return transaction.requireRevision(key, revisions.getOrDefault(key, 0L)).remove(key);
   }
 
-  /** Returns whether an item is in the store, as far as the leader knows. */
-  boolean isPresent(final String key) {
-    return revisions.containsKey(key);
-  }
-
   /**
    * Commits a transaction and updates the tracked revisions.
    *
--- a/library/src/main/java/org/lentilsail/jobs/PlacementWriter.java
+++ b/library/src/main/java/org/lentilsail/jobs/PlacementWriter.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunTracker;
 import org.lentilsail.policy.job.WorkerState;
@@ -40,6 +41,7 @@
   private static final long REMOVE_INTERVAL_NANOS = 1_000_000_000L;
 
   private final ControlContext context;
+  private final Fleet fleet;
   private final RunTracker runTracker;
   private final LeaderItems items;
   private final Consumer<RunCommand> send;
@@ -64,6 +66,7 @@
 
   PlacementWriter(
       final ControlContext context,
+      final Fleet fleet,
       final RunTracker runTracker,
       final LeaderItems items,
       final Consumer<RunCommand> send,
@@ -71,6 +74,7 @@
       final Runnable stateChanged,
       final Runnable superseded) {
     this.context = context;
+    this.fleet = fleet;
     this.runTracker = runTracker;
     this.items = items;
     this.send = send;
@@ -87,16 +91,16 @@
     flush();
   }
 
-  /** Removes the item of a terminated worker at the next tick. */
+  /**
+   * Removes the item of a terminated worker at a later tick, unless it has been admitted again by
+   * then. There may be one of which the leader does not know, as its write was not confirmed.
+   */
   void workerRemoved(final String worker) {
-    if (items.isPresent(StoreKeys.placement(worker))) {
-      terminatedWorkers.add(worker);
-    } else {
-      onRemoved.accept(worker);
-    }
+    terminatedWorkers.add(worker);
   }
 
   void tick(final long now) {
+    terminatedWorkers.removeIf(worker -> fleet.worker(worker) != null);
     if (!removing && !terminatedWorkers.isEmpty() && now - removedAt >= REMOVE_INTERVAL_NANOS) {
       removedAt = now;
       remove(terminatedWorkers.stream().limit(MAX_BATCH_SIZE).toList());
@@ -164,10 +168,12 @@
 
   /**
    * Takes the next batch. Skips workers with a transaction in flight, because the revision of their
-   * item is not known yet.
+   * item is not known yet, and those that were removed: their item may be that of a worker that has
+   * been admitted again.
    */
   private Map<WorkerState, List<RunCommand.Start>> takeBatch() {
     final Map<WorkerState, List<RunCommand.Start>> batch = new LinkedHashMap<>();
+    waiting.keySet().removeIf(worker -> fleet.worker(worker.id()) != worker);
     final Iterator<Map.Entry<WorkerState, List<RunCommand.Start>>> entries =
         waiting.entrySet().iterator();
     while (entries.hasNext() && batch.size() < MAX_BATCH_SIZE) {
@@ -184,7 +190,6 @@
     transactionsInFlight++;
     Transaction transaction = items.newTransaction();
     for (final WorkerState worker : batch.keySet()) {
-      terminatedWorkers.remove(worker.id());
       transaction =
           items.write(
               transaction,
