--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -139,6 +139,7 @@
   private PlacementWriter createPlacements() {
     return new PlacementWriter(
         context,
+        fleet,
         runTracker,
         items,
         workers::send,
@@ -243,9 +244,7 @@
 
   @Override
   public void workerGone(final WorkerState worker, final DropEvidence evidence) {
-    if (!worker.isRegistered()) {
-      workers.remove(worker.id(), evidence);
-    }
+    workers.workerGone(worker, evidence);
   }
 
   @Override
--- a/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderItems.java
@@ -77,11 +77,6 @@
     return appliedRevision;
   }
 
-  /** Returns whether an item is in the store, as far as the leader knows. */
-  boolean isPresent(final String key) {
-    return revisions.containsKey(key);
-  }
-
   /**
    * Commits a transaction and updates the tracked revisions.
    *
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -161,7 +161,7 @@
     if (reply.result() == CommandResult.DONE && reply.report().isPresent()) {
       applyReport(reply.report().get(), poll, now);
     } else {
-      handleFailure(reply, poll, now);
+      handleFailure(reply, poll);
     }
     if (poll.number() == pollCount) {
       schedulePoll(reply.result() == CommandResult.DONE);
@@ -280,13 +280,11 @@
     }
   }
 
-  private void handleFailure(final PollReply reply, final SentPoll poll, final long now) {
+  private void handleFailure(final PollReply reply, final SentPoll poll) {
     if (reply.result() == CommandResult.GONE && isCurrentIncarnation(poll.sentTo())) {
       context.log().log("worker-gone", "worker", worker.id(), "reason", reply.detail());
       final DropEvidence evidence =
           new DropEvidence(DropReason.WORKER_GONE, "poll: " + reply.detail(), poll.sentAt());
-      runTracker.workerLost(worker, evidence, now);
-      callbacks.workerResolved(worker, evidence);
       callbacks.workerGone(worker, evidence);
       callbacks.stateChanged();
     } else if (reply.result() == CommandResult.FENCED) {
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -251,7 +251,9 @@
     public void workerPartlyKnown(final WorkerState worker) {}
 
     @Override
-    public void workerGone(final WorkerState worker, final DropEvidence evidence) {}
+    public void workerGone(final WorkerState worker, final DropEvidence evidence) {
+      runTracker.workerLost(worker, evidence, time.nanos());
+    }
 
     @Override
     public void whenPersisted(final Runnable action) {
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
@@ -207,13 +208,8 @@
     return workers.get(id).runs();
   }
 
-  /**
-   * Returns the tasks with an active run on a worker.
-   *
-   * @param id id of the worker
-   * @return the tasks
-   */
-  public Set<TaskId> tasks(final String id) {
+  /** Returns the tasks with an active run on a worker. */
+  Set<TaskId> tasks(final String id) {
     return workers.get(id).tasks();
   }
 
@@ -250,18 +246,24 @@
         final WorkerEntry worker, final StartCommand command) {
       if (lateStartMillis > 0 && isReachable(worker)) {
         executor.schedule(
-            () -> startIfAlive(workers.get(worker.id()), command),
+            () -> ifAlive(worker.id(), target -> target.start(command)),
             lateStartMillis,
             TimeUnit.MILLISECONDS);
-        return delayed(unconfirmed(), TIMEOUT_MILLIS);
+        return delayed(Replies.failed(CommandResult.UNKNOWN), TIMEOUT_MILLIS);
       }
-      return call(worker, target -> completed(target.start(command)), unconfirmed());
+      return call(
+          worker,
+          target -> CompletableFuture.completedFuture(target.start(command)),
+          Replies::failed);
     }
 
     @Override
     public CompletableFuture<CommandReply> stop(
         final WorkerEntry worker, final TaskId task, final int run, final long token) {
-      return call(worker, target -> completed(target.stop(task, run, token)), unconfirmed());
+      return call(
+          worker,
+          target -> CompletableFuture.completedFuture(target.stop(task, run, token)),
+          Replies::failed);
     }
 
     @Override
@@ -271,7 +273,7 @@
         final int run,
         final int percent,
         final long token) {
-      return completed(new CommandReply(CommandResult.DONE, -1, ""));
+      return CompletableFuture.completedFuture(new CommandReply(CommandResult.DONE, -1, ""));
     }
 
     @Override
@@ -281,36 +283,35 @@
       }
       if (heldPoll.test(request) && isReachable(worker)) {
         heldPoll = other -> false;
-        heldPolls.add(() -> pollIfAlive(workers.get(worker.id()), request));
+        heldPolls.add(() -> ifAlive(worker.id(), target -> target.poll(request)));
         return delayed(
             new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"), TIMEOUT_MILLIS);
       }
       return call(
           worker,
           target -> target.poll(request),
-          new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"));
+          result -> new PollReply(result, Optional.empty(), "no reply"));
     }
 
-    private static void startIfAlive(final SimulatedWorker target, final StartCommand command) {
+    private void ifAlive(final String id, final Consumer<SimulatedWorker> action) {
+      final SimulatedWorker target = workers.get(id);
       if (target.isAlive()) {
-        target.start(command);
-      }
-    }
-
-    private static void pollIfAlive(final SimulatedWorker target, final PollRequest request) {
-      if (target.isAlive()) {
-        target.poll(request);
+        action.accept(target);
       }
     }
 
     private <T> CompletableFuture<T> call(
         final WorkerEntry worker,
         final Function<SimulatedWorker, CompletableFuture<T>> action,
-        final T fallback) {
+        final Function<CommandResult, T> failure) {
       final CompletableFuture<T> reply = new CompletableFuture<>();
+      final T fallback = failure.apply(CommandResult.UNKNOWN);
       executor.schedule(
           () -> {
-            if (isReachable(worker)) {
+            if (!isAtAddress(worker)) {
+              delayed(failure.apply(CommandResult.GONE), NETWORK_DELAY_MILLIS)
+                  .thenAccept(reply::complete);
+            } else if (isReachable(worker)) {
               final SimulatedWorker target = workers.get(worker.id());
               action
                   .apply(target)
@@ -329,23 +330,19 @@
       return reply;
     }
 
+    /** Returns false for the address of an earlier incarnation, which another worker has taken. */
+    private boolean isAtAddress(final WorkerEntry worker) {
+      final SimulatedWorker target = workers.get(worker.id());
+      return target == null || target.entry().address().equals(worker.address());
+    }
+
     private boolean isReachable(final WorkerEntry worker) {
       final SimulatedWorker target = workers.get(worker.id());
       return target != null && target.isAlive() && !cutLinks.contains(daemon + '/' + worker.id());
     }
 
     private <T> CompletableFuture<T> delayed(final T value, final long millis) {
-      final CompletableFuture<T> reply = new CompletableFuture<>();
-      executor.schedule(() -> reply.complete(value), millis, TimeUnit.MILLISECONDS);
-      return reply;
-    }
-
-    private static <T> CompletableFuture<T> completed(final T value) {
-      return CompletableFuture.completedFuture(value);
-    }
-
-    private static CommandReply unconfirmed() {
-      return new CommandReply(CommandResult.UNKNOWN, -1, "no reply");
+      return Replies.delayed(executor, value, millis);
     }
   }
 }
