Random job lives have lists that lack machines

JobLife lets the lists of machines lack the machine of a worker for 0.2 to 2.2 s, drawn from a generator of its own, so the other faults of a seed stay as they are.

--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
@@ -47,6 +47,7 @@
   private static final int CLIENT_RETRY_MILLIS = 400;
 
   private final Random random;
+  private final Random lists;
   private final SimulatedDeployment deployment;
   private final Map<String, JobNode> alive = new LinkedHashMap<>();
   private final Set<String> faultyStores = new LinkedHashSet<>();
@@ -60,6 +61,7 @@
 
   JobLife(final long seed) {
     random = new Random(seed);
+    lists = new Random(~seed);
     deployment = new SimulatedDeployment(this::durationMillis);
     deployment.workers.failWhen(this::fails);
   }
@@ -95,6 +97,7 @@
     }
     later(0, this::askForStates);
     scheduleFault();
+    scheduleIncompleteLists();
     deployment.advance(Duration.ofMillis(FAULTS_MILLIS));
     endFaults(daemonTotal);
     deployment.advance(Duration.ofMillis(SETTLE_MILLIS));
@@ -143,6 +146,21 @@
         });
   }
 
+  /** Lets lists lack the machine of a worker for a while; other faults don't depend on it. */
+  private void scheduleIncompleteLists() {
+    later(
+        100 + lists.nextInt(1_400),
+        () -> {
+          if (!calm) {
+            final List<String> all = List.copyOf(workers);
+            final String machine = "m-" + all.get(lists.nextInt(all.size()));
+            deployment.machines.omit(machine, true);
+            later(200 + lists.nextInt(2_000), () -> deployment.machines.omit(machine, false));
+            scheduleIncompleteLists();
+          }
+        });
+  }
+
   private void beginFault() {
     switch (random.nextInt(14)) {
       case 0, 1 -> stopPlanned(anyDaemon());
