Test that an end listed late stops the second run of its task

No fault was found: a worker whose lease has expired lists an end as done, and the second run of the task is stopped by the leader that has started it, and by the next one. LeaseExpiryTest.endListedLateStopsSecondRun passes, 14 of 14. Without the stop in FinishedRunProcessor 1 of them fails, without the stop of a listed run whose task is done 3 fail; the others end in ways that do not need these.

--- a/standin/src/test/java/org/lentilsail/standin/jobs/LeaseExpiryTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/LeaseExpiryTest.java
@@ -71,6 +71,39 @@
     assertThat(deployment.state(first, SHORT_JOB), is(Optional.of(JobState.COMPLETED)));
   }
 
+  /**
+   * A task that was done before the lease of its silent worker expired may have started again. Once
+   * its end is read the second run is stopped at once, whatever its state, by this leader or by the
+   * next one.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "3900, 0, false", "4100, 0, false", "4200, 0, false", "4600, 0, false", "5500, 0, false",
+    "3900, 300, false", "4100, 300, false", "4600, 300, false", "3900, 0, true", "4100, 0, true",
+    "4600, 0, true", "5500, 0, true", "4100, 300, true", "4600, 300, true"
+  })
+  void endListedLateStopsSecondRun(
+      final int cutMillis, final int startDelayMillis, final boolean newLeader) {
+    start(1);
+    final JobNode second = deployment.startNodes("d2").get(0);
+    deployment.submit(first, SHORT_JOB, SimulatedDeployment.step(2));
+    deployment.advance(Duration.ofMillis(800));
+    deployment.workers.cut("d1", "w1", true);
+    deployment.startWorker("w2");
+    deployment.advance(Duration.ofMillis(1_200));
+    deployment.workers.delayStarts(startDelayMillis);
+    deployment.advance(Duration.ofMillis(cutMillis - 1_200));
+    if (newLeader) {
+      deployment.isolate("d1");
+      deployment.advance(SimulatedDeployment.FAIL_OVER);
+    } else {
+      deployment.workers.cut("d1", "w1", false);
+      deployment.advance(Duration.ofMillis(1_200));
+    }
+    assertThat(deployment.state(second, SHORT_JOB), is(Optional.of(JobState.COMPLETED)));
+    assertThat(deployment.workers.history().running(SHORT_JOB), is(0));
+  }
+
   private void startOnUnseenIncarnation(
       final String job, final int millisToRestart, final int millisToCut) {
     deployment.advance(Duration.ofSeconds(5).plusMillis(millisToRestart));
