Test renewals of an earlier leader that workers execute late

No fault was found: the expiry of a renewal is a time on the clock of the worker, a lease is never longer than the longest one from its execution, and the first poll of the next leader fences later ones.

--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -39,6 +39,7 @@
   private final Map<String, SimulatedWorker> workers = new HashMap<>();
   private final Set<String> cutLinks = new HashSet<>();
   private long lateStartMillis;
+  private final Map<String, Long> latePollMillis = new HashMap<>();
   private int listLimit = Integer.MAX_VALUE;
   private WorkerLeaseTerms leaseTerms = new WorkerLeaseTerms(MAX_LEASE_MILLIS, 1);
   private String unusable = "";
@@ -123,6 +124,16 @@
     lateStartMillis = millis;
   }
 
+  /**
+   * Executes the polls of a daemon late and leaves them without a reply.
+   *
+   * @param daemon id of the daemon
+   * @param millis delay in ms
+   */
+  public void delayPolls(final String daemon, final long millis) {
+    latePollMillis.put(daemon, millis);
+  }
+
   /**
    * Limits the finished runs that a report lists; the next ones follow once these are acknowledged.
    *
@@ -249,10 +260,20 @@
       if (worker.id().equals(unusable)) {
         throw new IllegalArgumentException("the address of " + worker.id() + " cannot be used");
       }
-      return call(
-          worker,
-          target -> target.poll(request),
-          new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"));
+      final PollReply noReply = new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply");
+      final long lateMillis = latePollMillis.getOrDefault(daemon, 0L);
+      if (lateMillis > 0 && isReachable(worker)) {
+        final SimulatedWorker target = workers.get(worker.id());
+        executor.schedule(() -> pollIfAlive(target, request), lateMillis, TimeUnit.MILLISECONDS);
+        return delayed(noReply, TIMEOUT_MILLIS + request.waitMillis());
+      }
+      return call(worker, target -> target.poll(request), noReply);
+    }
+
+    private static void pollIfAlive(final SimulatedWorker target, final PollRequest request) {
+      if (target.isAlive()) {
+        target.poll(request);
+      }
     }
 
     private static void startIfAlive(final SimulatedWorker target, final StartCommand command) {
--- a/standin/src/test/java/org/lentilsail/standin/jobs/TermOverlapTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/TermOverlapTest.java
@@ -90,6 +90,31 @@
     assertThat(deployment.state(second, SLOW_JOB), is(Optional.of(JobState.COMPLETED)));
   }
 
+  /** Polls of the earlier leader are executed late, before or after the first one of the next. */
+  @ParameterizedTest
+  @CsvSource({
+    "1, 300, true", "1, 800, true", "1, 1500, true", "1, 4000, true", "0.98, 300, true",
+    "0.98, 800, true", "0.98, 1500, true", "0.98, 4000, true", "1, 300, false", "1, 800, false",
+    "1, 1500, false", "1, 4000, false", "0.98, 300, false", "0.98, 800, false", "0.98, 1500, false",
+    "0.98, 4000, false"
+  })
+  void renewalsOfEarlierLeaderThatAreExecutedLateAreCounted(
+      final double clockRate, final int delayMillis, final boolean neverReached) {
+    start(clockRate);
+    deployment.workers.cut("d2", "w1", neverReached);
+    deployment.submit(second, LASTING_JOB, SimulatedDeployment.step(1));
+    deployment.submit(second, SLOW_JOB, SimulatedDeployment.step(1));
+    deployment.advance(Duration.ofMillis(700));
+    endLeaseEarly();
+    deployment.advance(Duration.ofMillis(20));
+    deployment.workers.cut("d2", "w1", true);
+    deployment.advance(Duration.ofMillis(500));
+    deployment.workers.delayPolls("d1", delayMillis);
+    deployment.advance(Duration.ofSeconds(9));
+    assertThat(deployment.workers.history().violations(), is(empty()));
+    assertThat(deployment.workers.history().running(LASTING_JOB), is(1));
+  }
+
   private void start(final double clockRate) {
     deployment.workers.clockRate(clockRate);
     deployment.startWorker("w1");
