Block the tasks of a partly known worker for as long as its renewed lease

A new leader blocks the tasks of a worker that has listed only some of its finished runs. It counted the longest lease from the last such report, and renewals that it sent after it, to the longest lease while the store seems to fail, may last up to about 0.5 s longer. Tasks whose ends that worker had not listed yet could start again while the ends still count, if it was cut off just then. Each renewal now counts.

Cost: none but for those tasks.

--- a/library/src/main/java/org/lentilsail/jobs/RunLeases.java
+++ b/library/src/main/java/org/lentilsail/jobs/RunLeases.java
@@ -42,7 +42,8 @@
   /**
    * Grants a lease with a poll, and records it since the poll may be executed without a reply. A
    * poll of an unresponsive worker grants none: that would postpone the time at which its runs are
-   * known to have ended.
+   * known to have ended. A worker of which only some runs are known keeps its tasks blocked for as
+   * long as the lease may last.
    *
    * @param sentAt monotonic time in ns at which the poll is sent
    * @return expiry in ms on the clock of the worker, 0 for none
@@ -51,6 +52,9 @@
     if (!worker.clock().isKnown() || !worker.isResponding() || !callbacks.isLeader()) {
       return 0;
     }
+    if (!worker.isSynced()) {
+      callbacks.workerPartlyKnown(worker);
+    }
     return recordGrant(sentAt, leaseMillis());
   }
 
--- a/library/src/test/java/org/lentilsail/jobs/RunLeasesTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/RunLeasesTest.java
@@ -78,6 +78,23 @@
     assertThat(fixture.worker.runs(), is(empty()));
   }
 
+  /**
+   * The gate counted the longest lease from the last incomplete report of a worker, and not from
+   * the renewals that were sent after it.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void renewalOfPartlyKnownWorkerKeepsItsTasksBlocked(final boolean complete) {
+    final TaskRun running = fixture.startedRun("00000000000000a1");
+    fixture.session.poll();
+    final WorkerReport report = report(running);
+    fixture.reply(
+        new WorkerReport(report.clockMillis(), 1, report.running(), report.finished(), complete));
+    final int before = fixture.partlyKnown;
+    fixture.session.poll();
+    assertThat(fixture.partlyKnown - before, is(complete ? 0 : 1));
+  }
+
   /** Lists a run in reports until the lease that an earlier leader may have granted has expired. */
   private void listFor(final Duration time, final TaskRun running) {
     fixture.session.poll();
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -41,6 +41,9 @@
   /** Actions that wait until all progress is persisted. */
   final List<Runnable> awaitingPersistence = new ArrayList<>();
 
+  /** Number of times that the gate was told that the worker is only partly known. */
+  int partlyKnown;
+
   final RunTracker runTracker;
   final WorkerState worker =
       new WorkerState(
@@ -193,7 +196,9 @@
     public void workerResolved(final WorkerState worker) {}
 
     @Override
-    public void workerPartlyKnown(final WorkerState worker) {}
+    public void workerPartlyKnown(final WorkerState worker) {
+      partlyKnown++;
+    }
 
     @Override
     public void workerGone(final WorkerState worker) {}
