--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -50,6 +50,9 @@
   /** Number of replies that were reported as those of workers with a newer leader. */
   int fencedCalls;
 
+  /** Number of times that the gate was told that the worker is only partly known. */
+  int partlyKnown;
+
   final RunTracker runTracker;
   final WorkerState worker =
       new WorkerState(
@@ -248,7 +251,9 @@
     public void workerResolved(final WorkerState worker, final DropEvidence evidence) {}
 
     @Override
-    public void workerPartlyKnown(final WorkerState worker) {}
+    public void workerPartlyKnown(final WorkerState worker) {
+      partlyKnown++;
+    }
 
     @Override
     public void workerGone(final WorkerState worker, final DropEvidence evidence) {
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -44,6 +44,7 @@
   private long lateStartMillis;
   private final List<Runnable> heldPolls = new ArrayList<>();
   private Predicate<PollRequest> heldPoll = request -> false;
+  private final Map<String, Long> latePollMillis = new HashMap<>();
   private int listLimit = Integer.MAX_VALUE;
   private WorkerLeaseTerms leaseTerms = new WorkerLeaseTerms(MAX_LEASE_MILLIS, 1);
   private String unusable = "";
@@ -129,30 +130,27 @@
     lateStartMillis = millis;
   }
 
-  /**
-   * Holds the next poll of a kind in the network and leaves it without a reply.
-   *
-   * @param kind the kind
-   */
-  public void holdPoll(final Predicate<PollRequest> kind) {
+  /** Holds the next poll of a kind in the network and leaves it without a reply. */
+  void holdPoll(final Predicate<PollRequest> kind) {
     heldPoll = kind;
   }
 
-  /**
-   * Returns whether a poll is held.
-   *
-   * @return whether a poll of the kind has been sent and not been delivered
-   */
-  public boolean isPollHeld() {
+  /** Returns whether a poll of the kind has been sent and not been delivered. */
+  boolean isPollHeld() {
     return !heldPolls.isEmpty();
   }
 
   /** Delivers the held poll to the incarnation that the worker has now, over any cut. */
-  public void deliverHeldPoll() {
+  void deliverHeldPoll() {
     heldPolls.forEach(Runnable::run);
     heldPolls.clear();
   }
 
+  /** Executes the polls of a daemon late, by a delay in ms, and leaves them without a reply. */
+  void delayPolls(final String daemon, final long millis) {
+    latePollMillis.put(daemon, millis);
+  }
+
   /**
    * Limits the finished runs that a report lists; the next ones follow once these are acknowledged.
    *
@@ -162,12 +160,8 @@
     listLimit = runs;
   }
 
-  /**
-   * Sets the rate of the clocks of workers that start from now on.
-   *
-   * @param rate rate relative to real time; the platform allows 0.98 to 1
-   */
-  public void clockRate(final double rate) {
+  /** Sets the rate, of 0.98 to 1, of the clocks of workers that start from now on. */
+  void clockRate(final double rate) {
     leaseTerms = new WorkerLeaseTerms(MAX_LEASE_MILLIS, rate);
   }
 
@@ -198,18 +192,18 @@
     return history;
   }
 
+  /** Returns the number of active runs on a worker. */
+  int runs(final String id) {
+    return workers.get(id).runs();
+  }
+
   /**
-   * Counts the active runs on a worker.
+   * Returns the tasks with an active run on a worker.
    *
    * @param id id of the worker
-   * @return number of runs
+   * @return the tasks
    */
-  public int runs(final String id) {
-    return workers.get(id).runs();
-  }
-
-  /** Returns the tasks with an active run on a worker. */
-  Set<TaskId> tasks(final String id) {
+  public Set<TaskId> tasks(final String id) {
     return workers.get(id).tasks();
   }
 
@@ -281,11 +275,17 @@
       if (worker.id().equals(unusable)) {
         throw new IllegalArgumentException("the address of " + worker.id() + " cannot be used");
       }
+      final PollReply noReply = new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply");
+      final Runnable late = () -> ifAlive(worker.id(), target -> target.poll(request));
       if (heldPoll.test(request) && isReachable(worker)) {
         heldPoll = other -> false;
-        heldPolls.add(() -> ifAlive(worker.id(), target -> target.poll(request)));
-        return delayed(
-            new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"), TIMEOUT_MILLIS);
+        heldPolls.add(late);
+        return delayed(noReply, TIMEOUT_MILLIS);
+      }
+      final long lateMillis = latePollMillis.getOrDefault(daemon, 0L);
+      if (lateMillis > 0 && isReachable(worker)) {
+        executor.schedule(late, lateMillis, TimeUnit.MILLISECONDS);
+        return delayed(noReply, TIMEOUT_MILLIS + request.waitMillis());
       }
       return call(
           worker,
