Keep the present address of a worker on the roster

What callers could see (TWICE): a task runs beside itself right after a change of the leader that followed an outage of the store.

Cause: the roster kept the address that a worker had when it was admitted. If the worker restarted under its id at another address and its entry was missing when the next leader took over (entries expire in an outage and are back within two seconds), that leader polled the earlier address. A worker of another id there replies 421, which was taken for the end of the worker: its tasks were free at once, while they ran at the other address under a lease of up to 6 s.

Change: an entry with another address is applied once a confirmed write of the roster has it, so tasks start there only when the next leader will ask there. A write that is confirmed after the member has moved again doesn't admit it.

421 is sure then: it shows that the incarnation that had the address has ended, and nothing of this or an earlier leader can be at an address that the roster does not have. Replies of 421 to calls from before a known restart were ignored before and still are.

Stand-ins: each simulated worker has its address; a call to one that another worker has is answered GONE.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -168,10 +168,14 @@
     if (!opened) {
       return;
     }
-    if (known == null) {
+    if (known == null || !known.entry().address().equals(entry.address())) {
       roster.admit(entry);
-      return;
+    } else {
+      update(known, entry);
     }
+  }
+
+  private void update(final WorkerState known, final WorkerEntry entry) {
     final long earlierStart = known.entry().startTimeMillis();
     final boolean restarted = entry.startTimeMillis() > earlierStart;
     final boolean wasUsable = known.isRegistered() && !known.entry().draining();
@@ -216,7 +220,12 @@
   }
 
   private void admitted(final WorkerEntry entry) {
-    if (closed || fleet.worker(entry.id()) != null) {
+    if (closed) {
+      return;
+    }
+    final WorkerState known = fleet.worker(entry.id());
+    if (known != null) {
+      update(known, entry);
       return;
     }
     context.log().log("worker-admitted", "worker", entry.id(), "service", entry.service());
--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -22,7 +22,7 @@
   private final Runnable superseded;
   private final Map<String, WorkerEntry> members = new LinkedHashMap<>();
 
-  /** Members of which no confirmed write has persisted that they are on the roster. */
+  /** Members of which no confirmed write has persisted that they are on the roster, or where. */
   private final Set<String> unpersisted = new LinkedHashSet<>();
 
   private final LeaderItems items;
@@ -47,12 +47,13 @@
   }
 
   /**
-   * Admits a worker, at once if a confirmed write of the roster contains it. The next leader takes
-   * a worker that the roster lacks for a terminated one and starts its tasks again.
+   * Admits a worker, at once if a confirmed write of the roster contains it with its address. The
+   * next leader takes a worker for a terminated one and starts its tasks again if the roster lacks
+   * it, or if another worker replies at the address that the roster has.
    */
   void admit(final WorkerEntry entry) {
-    final boolean isNew = members.put(entry.id(), entry) == null;
-    if (isNew) {
+    final WorkerEntry earlier = members.put(entry.id(), entry);
+    if (earlier == null || !earlier.address().equals(entry.address())) {
       unpersisted.add(entry.id());
       dirty = true;
       write();
@@ -82,7 +83,7 @@
     }
     writeInFlight = true;
     dirty = false;
-    final List<String> newMembers = List.copyOf(unpersisted);
+    final List<WorkerEntry> written = unpersisted.stream().map(members::get).toList();
     final RosterDocument document =
         new RosterDocument(members.values().stream().map(RosterDocument.Row::of).toList());
     items.commit(
@@ -92,16 +93,16 @@
         (outcome, reason) -> {
           writeInFlight = false;
           if (!closed) {
-            handleOutcome(outcome, newMembers);
+            handleOutcome(outcome, written);
           }
         });
   }
 
   private void handleOutcome(
-      final LeaderItems.WriteOutcome outcome, final List<String> newMembers) {
+      final LeaderItems.WriteOutcome outcome, final List<WorkerEntry> written) {
     switch (outcome) {
       case APPLIED -> {
-        Callbacks.forEach("roster member", newMembers, this::admitPersisted);
+        Callbacks.forEach("roster member", written, this::admitPersisted);
         write();
       }
       case SUPERSEDED -> superseded.run();
@@ -109,10 +110,16 @@
     }
   }
 
-  /** Admits a member whose write is confirmed, unless it was removed while the write was sent. */
-  private void admitPersisted(final String id) {
-    if (unpersisted.remove(id)) {
-      onAdmitted.accept(members.get(id));
+  /**
+   * Admits a member whose write is confirmed, unless it was removed or has moved while the write
+   * was sent.
+   */
+  private void admitPersisted(final WorkerEntry written) {
+    final WorkerEntry member = members.get(written.id());
+    if (member != null
+        && member.address().equals(written.address())
+        && unpersisted.remove(member.id())) {
+      onAdmitted.accept(member);
     }
   }
 
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -1,5 +1,6 @@
 package org.lentilsail.standin.jobs;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -87,6 +88,11 @@
     return alive;
   }
 
+  /** Returns whether the worker runs and has an address. */
+  boolean accepts(final InetSocketAddress address) {
+    return alive && entry.address().equals(address);
+  }
+
   int runs() {
     return running.size();
   }
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
@@ -135,7 +136,7 @@
   /**
    * Returns whether a poll is held.
    *
-   * @return whether a poll of the kind has been sent and not been delivered
+   * @return whether one has been sent and not been delivered
    */
   public boolean isPollHeld() {
     return !heldPolls.isEmpty();
@@ -236,18 +237,18 @@
         final WorkerEntry worker, final StartCommand command) {
       if (lateStartMillis > 0 && isReachable(worker)) {
         executor.schedule(
-            () -> startIfAlive(workers.get(worker.id()), command),
+            () -> executeLate(worker, target -> target.start(command)),
             lateStartMillis,
             TimeUnit.MILLISECONDS);
-        return delayed(unconfirmed(), TIMEOUT_MILLIS);
+        return delayed(commandReply(CommandResult.UNKNOWN), TIMEOUT_MILLIS);
       }
-      return call(worker, target -> completed(target.start(command)), unconfirmed());
+      return call(worker, target -> completed(target.start(command)), Client::commandReply);
     }
 
     @Override
     public CompletableFuture<CommandReply> stop(
         final WorkerEntry worker, final TaskId task, final int run, final long token) {
-      return call(worker, target -> completed(target.stop(task, run, token)), unconfirmed());
+      return call(worker, target -> completed(target.stop(task, run, token)), Client::commandReply);
     }
 
     @Override
@@ -267,32 +268,24 @@
       }
       if (heldPoll.test(request) && isReachable(worker)) {
         heldPoll = other -> false;
-        heldPolls.add(() -> pollIfAlive(workers.get(worker.id()), request));
-        return delayed(
-            new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"), TIMEOUT_MILLIS);
+        heldPolls.add(() -> executeLate(worker, target -> target.poll(request)));
+        return delayed(pollReply(CommandResult.UNKNOWN), TIMEOUT_MILLIS);
       }
-      return call(
-          worker,
-          target -> target.poll(request),
-          new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"));
+      return call(worker, target -> target.poll(request), Client::pollReply);
     }
 
-    private static void startIfAlive(final SimulatedWorker target, final StartCommand command) {
-      if (target.isAlive()) {
-        target.start(command);
-      }
-    }
-
-    private static void pollIfAlive(final SimulatedWorker target, final PollRequest request) {
+    /** Executes a late call by the incarnation that the worker has now. */
+    private void executeLate(final WorkerEntry worker, final Consumer<SimulatedWorker> call) {
+      final SimulatedWorker target = workers.get(worker.id());
       if (target.isAlive()) {
-        target.poll(request);
+        call.accept(target);
       }
     }
 
     private <T> CompletableFuture<T> call(
         final WorkerEntry worker,
         final Function<SimulatedWorker, CompletableFuture<T>> action,
-        final T fallback) {
+        final Function<CommandResult, T> failure) {
       final CompletableFuture<T> reply = new CompletableFuture<>();
       executor.schedule(
           () -> {
@@ -301,10 +294,18 @@
                   .apply(workers.get(worker.id()))
                   .thenAccept(
                       value ->
-                          delayed(isReachable(worker) ? value : fallback, NETWORK_DELAY_MILLIS)
+                          delayed(
+                                  isReachable(worker)
+                                      ? value
+                                      : failure.apply(CommandResult.UNKNOWN),
+                                  NETWORK_DELAY_MILLIS)
                               .thenAccept(reply::complete));
             } else {
-              delayed(fallback, TIMEOUT_MILLIS).thenAccept(reply::complete);
+              final boolean gone = isTakenOver(worker);
+              delayed(
+                      failure.apply(gone ? CommandResult.GONE : CommandResult.UNKNOWN),
+                      gone ? NETWORK_DELAY_MILLIS : TIMEOUT_MILLIS)
+                  .thenAccept(reply::complete);
             }
           },
           NETWORK_DELAY_MILLIS,
@@ -314,7 +315,17 @@
 
     private boolean isReachable(final WorkerEntry worker) {
       final SimulatedWorker target = workers.get(worker.id());
-      return target != null && target.isAlive() && !cutLinks.contains(daemon + '/' + worker.id());
+      return target != null && target.accepts(worker.address()) && hasLink(worker.id());
+    }
+
+    /** Returns whether another worker replies at the address of a worker. */
+    private boolean isTakenOver(final WorkerEntry worker) {
+      return workers.values().stream()
+          .anyMatch(other -> other.accepts(worker.address()) && hasLink(other.entry().id()));
+    }
+
+    private boolean hasLink(final String worker) {
+      return !cutLinks.contains(daemon + '/' + worker);
     }
 
     private <T> CompletableFuture<T> delayed(final T value, final long millis) {
@@ -327,8 +338,12 @@
       return CompletableFuture.completedFuture(value);
     }
 
-    private static CommandReply unconfirmed() {
-      return new CommandReply(CommandResult.UNKNOWN, -1, "no reply");
+    private static CommandReply commandReply(final CommandResult failure) {
+      return new CommandReply(failure, -1, "no reply");
+    }
+
+    private static PollReply pollReply(final CommandResult failure) {
+      return new PollReply(failure, Optional.empty(), "no reply");
     }
   }
 }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -162,21 +162,44 @@
 
   /** Starts a worker with the given CPU capacity in millicores and registers it in the store. */
   void startWorker(final String id, final long cpuMillis) {
+    startWorker(id, address(id), cpuMillis, 1);
+  }
+
+  private void startWorker(
+      final String id,
+      final InetSocketAddress address,
+      final long cpuMillis,
+      final long startTimeMillis) {
     final WorkerEntry entry =
         new WorkerEntry(
             id,
             SERVICE,
-            InetSocketAddress.createUnresolved("10.0.0.1", 80),
+            address,
             "north",
             false,
             new Resources(cpuMillis, 8_000, 0),
             List.of("a", "rack-1"),
-            1);
+            startTimeMillis);
     entries.put(id, entry);
     workers.start(entry);
     writeEntry(id);
   }
 
+  private static InetSocketAddress address(final String host) {
+    return InetSocketAddress.createUnresolved(host, 80);
+  }
+
+  /** Restarts a worker under its id at another address. */
+  void moveWorker(final String id) {
+    workers.crash(id);
+    startWorker(id, address(id + "-moved"), 8_000, entries.get(id).startTimeMillis() + 1);
+  }
+
+  /** Starts a worker at the first address of another one. */
+  void startWorkerAtAddressOf(final String earlier, final String id) {
+    startWorker(id, address(earlier), 8_000, 1);
+  }
+
   /** Restarts a worker, whose entry in the store stays that of the earlier incarnation. */
   void restartWorker(final String id) {
     final WorkerEntry earlier = entries.get(id);
