--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -1,6 +1,5 @@
 package org.lentilsail.jobs;
 
-import static org.lentilsail.concurrent.Callbacks.logged;
 import static org.lentilsail.concurrent.Callbacks.loggedTask;
 
 import java.time.Duration;
@@ -30,9 +29,6 @@
   /** Interval in ms between checks of time-based conditions. */
   private static final long TICK_INTERVAL_MILLIS = 100;
 
-  /** Delay in ms before a failed read of the persisted state is retried. */
-  private static final long LOAD_RETRY_DELAY_MILLIS = 100;
-
   /** Minimum time between two watch requests for submissions. */
   private static final Duration INPUT_WATCH_INTERVAL = Duration.ofMillis(12);
 
@@ -49,6 +45,7 @@
   private final ControlContext context;
   private final Election election;
   private final StoreRetries retries;
+  private final StateLoader stateLoader;
   private final JobRegistry jobs = new JobRegistry();
   private final Fleet fleet = new Fleet();
   private final RecoveryGate gate = new RecoveryGate();
@@ -62,6 +59,7 @@
   private final LeaderItems items;
   private final ProgressWriter progressWriter;
   private final LeaderWorkers workers;
+  private final LeaseProlonger leaseProlonger = new LeaseProlonger(this::pollAllWorkers);
   private final RunTracker runTracker;
   private final Scheduler scheduler;
   private final MachineControl machines;
@@ -75,7 +73,6 @@
   private boolean registryLoaded;
   private boolean open;
   private boolean passScheduled;
-  private boolean storeUnreliable;
   private boolean closed;
 
   JobControl(
@@ -86,6 +83,7 @@
       final StoreRetries retries) {
     this.context = context;
     this.retries = retries;
+    this.stateLoader = new StateLoader(context, retries, this::restore);
     this.election = election;
     this.term = term;
     this.claimedAt = context.time().nanos();
@@ -97,9 +95,7 @@
     advice = new AdviceRunner(context, new AdvicePlanner(jobs, fleet), this::stateChanged);
     progressWriter = new ProgressWriter(context, jobs, items, election::superseded);
     workers = createWorkers(runLog);
-    placements =
-        new PlacementWriter(
-            context, runTracker, items, workers::send, this::stateChanged, election::superseded);
+    placements = createPlacements();
     machines =
         new MachineControl(
             context,
@@ -140,6 +136,17 @@
         context, jobs, runTracker, cancelledIds, removedIds, this::inputLoaded, this::stateChanged);
   }
 
+  private PlacementWriter createPlacements() {
+    return new PlacementWriter(
+        context,
+        runTracker,
+        items,
+        workers::send,
+        workers::placementsRemoved,
+        this::stateChanged,
+        election::superseded);
+  }
+
   private PrefixWatcher watcher(
       final String prefix, final PrefixListener listener, final Duration interval) {
     return new PrefixWatcher(
@@ -153,19 +160,26 @@
   void start() {
     inputWatcher.start();
     registryWatcher.start();
-    load();
+    stateLoader.load();
   }
 
   /** Continues in a later term when no other daemon was leader in between. */
   void resume(final Term current) {
     term = current;
     items.updateTerm(current);
-    workers.pollAll();
+    leaseProlonger.resumed();
+    stateChanged();
+  }
+
+  /** Called when the store has confirmed the leadership after failed renewals. */
+  void leadershipConfirmed() {
+    leaseProlonger.leadershipConfirmed();
     stateChanged();
   }
 
   void close() {
     closed = true;
+    stateLoader.close();
     context.metrics().recordLongestIdleJob(0);
     context.metrics().clearOrganisations();
     inputWatcher.close();
@@ -199,6 +213,11 @@
         || context.time().nanos() - inputWatcher.lastResponseAt() > MAX_WATCH_SILENCE.toNanos();
   }
 
+  @Override
+  public long unconfirmedNanos() {
+    return election.unconfirmedNanos();
+  }
+
   @Override
   public void fenced() {
     election.suspectLease();
@@ -234,31 +253,13 @@
     progressWriter.whenPersisted(action);
   }
 
-  private void load() {
-    PersistedState.read(context.store())
-        .whenCompleteAsync(
-            logged(
-                (state, failure) -> {
-                  if (closed) {
-                    return;
-                  }
-                  if (failure != null) {
-                    context.log().log("control-load-failed", "reason", failure.getMessage());
-                    retries.schedule(this::load, LOAD_RETRY_DELAY_MILLIS);
-                    return;
-                  }
-                  restore(state);
-                  heldInput.release();
-                  heldRegistry.release();
-                }),
-            context.executor());
-  }
-
   private void restore(final PersistedState state) {
     state.all().forEach(items::track);
     input.restore(state.progress());
     machines.restore(state, claimedAt);
     workers.restore(state.members(), state.placementsByWorker(), claimedAt);
+    heldInput.release();
+    heldRegistry.release();
   }
 
   private void inputLoaded() {
@@ -305,10 +306,14 @@
     stateChanged();
   }
 
+  private void pollAllWorkers() {
+    workers.pollAll();
+  }
+
   private void tick() {
     final long now = context.time().nanos();
     jobs.startDueOccurrences(context.time().wallMillis(), now);
-    prolongRunsWhenStoreFails();
+    leaseProlonger.tick(isStoreUnreliable(), isLeader());
     workers.tick(now);
     machines.refresh(now);
     if (isLeader()) {
@@ -319,19 +324,6 @@
     stateChanged();
   }
 
-  /**
-   * Polls all workers as soon as the store seems to fail: a poll extends the leases of their runs
-   * to the longest that workers grant, which is only permitted while the leader lease is still
-   * valid.
-   */
-  private void prolongRunsWhenStoreFails() {
-    final boolean unreliable = isStoreUnreliable();
-    if (unreliable && !storeUnreliable) {
-      workers.pollAll();
-    }
-    storeUnreliable = unreliable;
-  }
-
   private void runSchedulingPass() {
     passScheduled = false;
     if (closed) {
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -231,6 +231,11 @@
       return false;
     }
 
+    @Override
+    public long unconfirmedNanos() {
+      return 0;
+    }
+
     @Override
     public void fenced() {
       fencedCalls++;
--- a/policy/src/main/java/org/lentilsail/policy/job/DropReason.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/DropReason.java
@@ -8,8 +8,6 @@
   GATE_EXPIRED,
   /** The first complete report of a worker lacks a task that it may have been assigned. */
   GATE_REPORTED,
-  /** The worker of a stored placement is not on the roster. */
-  NOT_ON_ROSTER,
   /** The list of machines shows that an unresponsive worker has ended. */
   MACHINE_LIST,
   /** The lease of an unresponsive worker has expired. */
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -31,9 +31,6 @@
 final class SimulatedWorker {
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /** Longest lease in ms; a longer one is shortened to it. */
-  private static final long MAX_LEASE_MILLIS = 6_000;
-
   private final WorkerEntry entry;
   private final TimeSource time;
   private final ScheduledExecutorService executor;
@@ -44,11 +41,15 @@
   /** Number of finished runs that a report lists at most. */
   private final IntSupplier listLimit;
 
+  private final WorkerLeaseTerms leaseTerms;
+
+  /** Monotonic time in ns at which this incarnation, and with it its clock, has started. */
+  private final long startedAt;
+
   private final Map<TaskId, Running> running = new LinkedHashMap<>();
   private final Map<TaskId, Integer> highestFinished = new HashMap<>();
   private final List<FinishedRun> unacknowledged = new ArrayList<>();
   private final List<CompletableFuture<Void>> pendingPolls = new ArrayList<>();
-  private final long startedAt;
   private long token;
   private long leaseExpiry;
   private long lastSequence;
@@ -69,8 +70,10 @@
       final RunHistory history,
       final ToLongFunction<TaskId> durations,
       final Predicate<TaskId> failing,
-      final IntSupplier listLimit) {
+      final IntSupplier listLimit,
+      final WorkerLeaseTerms leaseTerms) {
     this.listLimit = listLimit;
+    this.leaseTerms = leaseTerms;
     this.startedAt = time.nanos();
     this.entry = entry;
     this.time = time;
@@ -214,8 +217,10 @@
   }
 
   private void extendLease(final long expiry) {
-    leaseExpiry = Math.max(leaseExpiry, Math.min(expiry, clock() + MAX_LEASE_MILLIS));
-    executor.schedule(this::expire, Math.max(1, leaseExpiry - clock() + 1), TimeUnit.MILLISECONDS);
+    leaseExpiry = Math.max(leaseExpiry, Math.min(expiry, clock() + leaseTerms.maxLeaseMillis()));
+    final double remainingMillis = (leaseExpiry - clock() + 1) / leaseTerms.clockRate();
+    executor.schedule(
+        this::expire, Math.max(1, (long) Math.ceil(remainingMillis)), TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -236,7 +241,7 @@
 
   /** Returns the time in ms of a clock that begins anew with each incarnation. */
   private long clock() {
-    return 1 + (now() - startedAt) / NANOS_PER_MILLI;
+    return (long) ((now() - startedAt) * leaseTerms.clockRate()) / NANOS_PER_MILLI;
   }
 
   private long now() {
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -1,9 +1,7 @@
 package org.lentilsail.standin.jobs;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -32,6 +30,9 @@
   /** Time in ms after which a command without a reply fails. */
   private static final long TIMEOUT_MILLIS = 700;
 
+  /** Longest lease in ms that a worker grants, as in the users' deployments. */
+  private static final long MAX_LEASE_MILLIS = 6_000;
+
   private final TimeSource time;
   private final ScheduledExecutorService executor;
   private final ToLongFunction<TaskId> durations;
@@ -39,9 +40,9 @@
   private final Map<String, SimulatedWorker> workers = new HashMap<>();
   private final Set<String> cutLinks = new HashSet<>();
   private long lateStartMillis;
-  private final List<Runnable> heldPolls = new ArrayList<>();
-  private Predicate<PollRequest> heldPoll = request -> false;
+  private final HeldPolls heldPolls = new HeldPolls();
   private int listLimit = Integer.MAX_VALUE;
+  private WorkerLeaseTerms leaseTerms = new WorkerLeaseTerms(MAX_LEASE_MILLIS, 1);
   private String unusable = "";
   private Predicate<TaskId> failing = task -> false;
 
@@ -76,7 +77,8 @@
             history,
             durations,
             task -> failing.test(task),
-            () -> listLimit));
+            () -> listLimit,
+            leaseTerms));
   }
 
   /**
@@ -125,36 +127,30 @@
   }
 
   /**
-   * Holds the next poll of a kind in the network and leaves it without a reply.
+   * Returns the polls that are held back.
    *
-   * @param kind the kind
+   * @return the polls
    */
-  public void holdPoll(final Predicate<PollRequest> kind) {
-    heldPoll = kind;
+  public HeldPolls heldPolls() {
+    return heldPolls;
   }
 
   /**
-   * Returns whether a poll is held.
+   * Limits the finished runs that a report lists; the next ones follow once these are acknowledged.
    *
-   * @return whether one has been sent and not been delivered
+   * @param runs number of finished runs
    */
-  public boolean isPollHeld() {
-    return !heldPolls.isEmpty();
-  }
-
-  /** Delivers the held poll to the incarnation that the worker has now, over any cut. */
-  public void deliverHeldPoll() {
-    heldPolls.forEach(Runnable::run);
-    heldPolls.clear();
+  public void limitListedRuns(final int runs) {
+    listLimit = runs;
   }
 
   /**
-   * Limits the finished runs that a report lists; the next ones follow once these are acknowledged.
+   * Sets the rate of the clocks of workers that start from now on.
    *
-   * @param runs number of finished runs
+   * @param rate rate relative to real time; the platform allows 0.98 to 1
    */
-  public void limitListedRuns(final int runs) {
-    listLimit = runs;
+  public void clockRate(final double rate) {
+    leaseTerms = new WorkerLeaseTerms(MAX_LEASE_MILLIS, rate);
   }
 
   /**
@@ -266,9 +262,8 @@
       if (worker.id().equals(unusable)) {
         throw new IllegalArgumentException("the address of " + worker.id() + " cannot be used");
       }
-      if (heldPoll.test(request) && isReachable(worker)) {
-        heldPoll = other -> false;
-        heldPolls.add(() -> executeLate(worker, target -> target.poll(request)));
+      if (isReachable(worker)
+          && heldPolls.hold(request, () -> executeLate(worker, target -> target.poll(request)))) {
         return delayed(pollReply(CommandResult.UNKNOWN), TIMEOUT_MILLIS);
       }
       return call(worker, target -> target.poll(request), Client::pollReply);
--- a/standin/src/test/java/org/lentilsail/standin/jobs/EarlierIncarnationTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/EarlierIncarnationTest.java
@@ -77,7 +77,7 @@
     deployment.advance(Duration.ofMillis(10));
     deployment.workers.cut("d1", "w1", true);
     deployment.advance(Duration.ofMillis(100));
-    deployment.workers.deliverHeldPoll();
+    deployment.workers.heldPolls().deliver();
     if (newLeader) {
       deployment.isolate("d1");
       deployment.advance(SimulatedDeployment.FAIL_OVER);
@@ -106,7 +106,7 @@
     deployment.startWorker("w2");
     deployment.workers.cut("d1", "w1", true);
     deployment.advance(Duration.ofMillis(deliveredAfterMillis));
-    deployment.workers.deliverHeldPoll();
+    deployment.workers.heldPolls().deliver();
     deployment.advance(Duration.ofSeconds(9));
     assertThat(deployment.workers.runs("w2"), is(1));
   }
@@ -152,8 +152,8 @@
   }
 
   private void holdNextPoll(final Predicate<PollRequest> kind) {
-    deployment.workers.holdPoll(kind);
-    advanceUntil(deployment.workers::isPollHeld);
+    deployment.workers.heldPolls().holdNext(kind);
+    advanceUntil(deployment.workers.heldPolls()::isHeld);
   }
 
   private void advanceUntil(final BooleanSupplier condition) {
