--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -222,7 +222,9 @@
     }
     final WorkerState known = fleet.worker(entry.id());
     if (known != null) {
-      update(known, entry);
+      if (entry.startTimeMillis() >= known.entry().startTimeMillis()) {
+        update(known, entry);
+      }
       return;
     }
     context.log().log("worker-admitted", "worker", entry.id(), "service", entry.service());
--- a/library/src/main/java/org/lentilsail/jobs/SentPoll.java
+++ b/library/src/main/java/org/lentilsail/jobs/SentPoll.java
@@ -1,7 +1,7 @@
 package org.lentilsail.jobs;
 
 /**
- * A poll in flight.
+ * A poll of a worker in flight.
  *
  * @param number number of the poll in this session
  * @param sentAt monotonic time in ns at which it was sent
