Forget cancellations whose removal had no answer

What callers could see: an accepted job is shown as cancelled, though nobody has cancelled it, if its id was cancelled over 180 s before without a job.

Cause: the leader removes such a cancellation after 180 s. If the store applied that without an answer, the leader went on knowing it: later removals failed on its revision, were put off by 180 s again and again, and a submission of the id, which the store accepts once the cancellation is gone, was cancelled at once.

Change: a removal that the watch shows, or a list without the cancellation, makes the leader forget it. A list in pages shows every item that exists all the while, so absence from it is sure for what was known before.

Cost: one pass over the keys of a list, no call.

Evidence: CancelUnknownJobTest.cancellationRemovedWithoutAnswerDoesNotCancelLaterJob failed in both cases (0 runs instead of 1), with the removal shown by the watch and with its history lost; both pass now.

--- a/library/src/main/java/org/lentilsail/jobs/CancelledIds.java
+++ b/library/src/main/java/org/lentilsail/jobs/CancelledIds.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.lentilsail.store.StoredItem;
 
 /**
@@ -29,6 +30,11 @@
     return cancellations.remove(id) != null;
   }
 
+  /** Drops the ids whose cancellations are no longer in the store. */
+  void retain(final Set<String> ids) {
+    cancellations.keySet().retainAll(ids);
+  }
+
   /** Returns the revision of a cancellation in the store. */
   long revision(final String id) {
     return cancellations.get(id).revision();
--- a/library/src/main/java/org/lentilsail/jobs/JobInput.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobInput.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.lentilsail.concurrent.Callbacks;
 import org.lentilsail.log.LineKind;
 import org.lentilsail.model.job.JobProgress;
@@ -59,6 +61,7 @@
 
   @Override
   public void onSnapshot(final List<StoredItem> items) {
+    cancelledIds.retain(cancelledIds(items));
     Callbacks.forEach("job input", items, item -> applyItem(item, true));
     firstSnapshotRead = true;
     loaded.run();
@@ -66,7 +69,7 @@
 
   @Override
   public void onChange(final ItemChange change) {
-    change.item().ifPresent(item -> applyItem(item, false));
+    change.item().ifPresentOrElse(item -> applyItem(item, false), () -> removed(change.key()));
   }
 
   @Override
@@ -79,6 +82,21 @@
     removedIds.caughtUp(revision);
   }
 
+  private static Set<String> cancelledIds(final List<StoredItem> items) {
+    return items.stream()
+        .map(StoredItem::key)
+        .filter(StoreKeys::isCancellation)
+        .map(StoreKeys::inputId)
+        .collect(Collectors.toSet());
+  }
+
+  /** Forgets a cancellation that was removed, also by a write without an answer. */
+  private void removed(final String key) {
+    if (StoreKeys.isCancellation(key)) {
+      cancelledIds.remove(StoreKeys.inputId(key));
+    }
+  }
+
   private void applyItem(final StoredItem item, final boolean fromSnapshot) {
     final String id = StoreKeys.inputId(item.key());
     if (removedIds.contains(id, item)) {
--- a/standin/src/test/java/org/lentilsail/standin/jobs/CancelUnknownJobTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/CancelUnknownJobTest.java
@@ -134,6 +134,31 @@
     assertThat(deployment.store.get("in/2000000000000000/x").isPresent(), is(true));
   }
 
+  /**
+   * Guards against an accepted job that the leader cancels: it had removed an earlier cancellation
+   * of its id and did not know, since the store's answer or the history with the removal was lost.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void cancellationRemovedWithoutAnswerDoesNotCancelLaterJob(final boolean historyLost) {
+    deployment.cancel(second, JOB);
+    deployment.store.delayAnswers("d1", () -> 100);
+    while (deployment.store.get("in/" + JOB + "/x").isPresent()) {
+      deployment.advance(Duration.ofMillis(1));
+    }
+    deployment.store.fault("d1", StoreFault.SILENT);
+    if (historyLost) {
+      deployment.store.compact();
+    }
+    deployment.advance(Duration.ofMillis(150));
+    deployment.store.fault("d1", StoreFault.NONE);
+    deployment.store.delayAnswers("d1", () -> 0);
+    deployment.advance(Duration.ofSeconds(2));
+    assertThat(deployment.submit(second, JOB, longRunning(1)), is(SubmitOutcome.ACCEPTED));
+    deployment.advance(Duration.ofSeconds(1));
+    assertThat(deployment.workers.history().running(JOB), is(1));
+  }
+
   @Test
   void cancellationIsRemovedOnceNoSubmissionCanBeLate() {
     deployment.cancel(first, JOB);
