--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -165,14 +165,10 @@
     if (!opened) {
       return;
     }
-    if (known == null || !known.entry().address().equals(entry.address())) {
+    if (known == null) {
       roster.admit(entry);
-    } else {
-      update(known, entry);
+      return;
     }
-  }
-
-  private void update(final WorkerState known, final WorkerEntry entry) {
     final long earlierStart = known.entry().startTimeMillis();
     final boolean restarted = entry.startTimeMillis() > earlierStart;
     final boolean wasUsable = known.isRegistered() && !known.entry().draining();
@@ -217,14 +213,7 @@
   }
 
   private void admitted(final WorkerEntry entry) {
-    if (closed) {
-      return;
-    }
-    final WorkerState known = fleet.worker(entry.id());
-    if (known != null) {
-      if (entry.startTimeMillis() >= known.entry().startTimeMillis()) {
-        update(known, entry);
-      }
+    if (closed || fleet.worker(entry.id()) != null) {
       return;
     }
     context.log().log("worker-admitted", "worker", entry.id(), "service", entry.service());
--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -22,7 +22,7 @@
   private final Runnable superseded;
   private final Map<String, WorkerEntry> members = new LinkedHashMap<>();
 
-  /** Members of which no confirmed write has persisted that they are on the roster, or where. */
+  /** Members of which no confirmed write has persisted that they are on the roster. */
   private final Set<String> unpersisted = new LinkedHashSet<>();
 
   private final LeaderItems items;
@@ -47,13 +47,12 @@
   }
 
   /**
-   * Admits a worker, at once if a confirmed write of the roster contains it with its address. The
-   * next leader takes a worker for a terminated one and starts its tasks again if the roster lacks
-   * it, or if another worker replies at the address that the roster has.
+   * Admits a worker, at once if a confirmed write of the roster contains it. The next leader takes
+   * a worker that the roster lacks for a terminated one and starts its tasks again.
    */
   void admit(final WorkerEntry entry) {
-    final WorkerEntry earlier = members.put(entry.id(), entry);
-    if (earlier == null || !earlier.address().equals(entry.address())) {
+    final boolean isNew = members.put(entry.id(), entry) == null;
+    if (isNew) {
       unpersisted.add(entry.id());
       dirty = true;
       write();
@@ -83,7 +82,7 @@
     }
     writeInFlight = true;
     dirty = false;
-    final List<WorkerEntry> written = unpersisted.stream().map(members::get).toList();
+    final List<String> newMembers = List.copyOf(unpersisted);
     final RosterDocument document =
         new RosterDocument(members.values().stream().map(RosterDocument.Row::of).toList());
     items.commit(
@@ -93,16 +92,16 @@
         (outcome, reason) -> {
           writeInFlight = false;
           if (!closed) {
-            handleOutcome(outcome, written);
+            handleOutcome(outcome, newMembers);
           }
         });
   }
 
   private void handleOutcome(
-      final LeaderItems.WriteOutcome outcome, final List<WorkerEntry> written) {
+      final LeaderItems.WriteOutcome outcome, final List<String> newMembers) {
     switch (outcome) {
       case APPLIED -> {
-        Callbacks.forEach("roster member", written, this::admitPersisted);
+        Callbacks.forEach("roster member", newMembers, this::admitPersisted);
         write();
       }
       case SUPERSEDED -> superseded.run();
@@ -110,16 +109,10 @@
     }
   }
 
-  /**
-   * Admits a member whose write is confirmed, unless it was removed or has moved while the write
-   * was sent.
-   */
-  private void admitPersisted(final WorkerEntry written) {
-    final WorkerEntry member = members.get(written.id());
-    if (member != null
-        && member.address().equals(written.address())
-        && unpersisted.remove(member.id())) {
-      onAdmitted.accept(member);
+  /** Admits a member whose write is confirmed, unless it was removed while the write was sent. */
+  private void admitPersisted(final String id) {
+    if (unpersisted.remove(id)) {
+      onAdmitted.accept(members.get(id));
     }
   }
 
