--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -1,6 +1,7 @@
 package org.lentilsail.jobs;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -15,9 +16,11 @@
 import org.lentilsail.policy.job.DropListener;
 import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.Fleet;
+import org.lentilsail.policy.job.MachineInventory;
 import org.lentilsail.policy.job.RecoveryGate;
 import org.lentilsail.policy.job.RunCommand;
 import org.lentilsail.policy.job.RunTracker;
+import org.lentilsail.policy.job.WorkerHosts;
 import org.lentilsail.policy.job.WorkerState;
 
 /**
@@ -25,14 +28,9 @@
  * a session for each, and removes workers that have terminated. Confined to the control thread.
  */
 final class LeaderWorkers implements WorkerRegistry.Listener {
-  /** Allowance for a worker clock that runs slow and for the network delay of a command. */
-  private static final double LEASE_MARGIN_FACTOR = 1.03;
-
   /** Maximum number of tasks in one log line, of 30 bytes each. */
   private static final int MAX_LOGGED_TASKS = 50;
 
-  private static final long NANOS_PER_MILLI = 1_000_000L;
-
   private final ControlContext context;
   private final Fleet fleet;
   private final RunTracker runTracker;
@@ -43,12 +41,16 @@
   private final Roster roster;
   private final WorkerTokens tokens;
   private final Consumer<String> placementRemoval;
+  private final WorkerHosts hosts = new WorkerHosts();
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, WorkerEntry> knownWorkers = new HashMap<>();
 
   /** Workers with persisted placements that the persisted roster lacks. */
   private final Set<String> unlisted = new LinkedHashSet<>();
 
+  /** Workers whose registry entries this leader has read. */
+  private final Set<String> reported = new HashSet<>();
+
   private boolean opened;
   private boolean closed;
 
@@ -90,28 +92,25 @@
    * tasks are blocked like those of a worker that cannot be polled.
    */
   void restore(
-      final List<WorkerEntry> members,
+      final Map<WorkerEntry, String> members,
       final Map<String, List<TaskId>> placementsByWorker,
       final long claimedAt) {
-    roster.restore(members);
+    roster.restore(members.keySet());
+    members.forEach(hosts::restore);
     final Map<String, List<TaskId>> tasks = new HashMap<>(placementsByWorker);
     unlisted.addAll(placementsByWorker.keySet());
-    for (final WorkerEntry entry : members) {
+    for (final WorkerEntry entry : members.keySet()) {
       tasks.putIfAbsent(entry.id(), List.of());
       unlisted.remove(entry.id());
       knownWorkers.putIfAbsent(entry.id(), entry);
     }
-    gate.close(tasks, claimedAt, maxLeaseNanos());
+    gate.close(tasks, claimedAt, RunLeases.longestNanos(context.bounds()));
     registry.expect(tasks.keySet());
   }
 
   /** Keeps the tasks of a worker blocked, the lease of whose runs was renewed. */
   void partlyKnown(final WorkerState worker) {
-    gate.prolong(worker.id(), context.time().nanos() + maxLeaseNanos());
-  }
-
-  private long maxLeaseNanos() {
-    return (long) (context.bounds().maxLeaseMillis() * LEASE_MARGIN_FACTOR * NANOS_PER_MILLI);
+    gate.prolong(worker.id(), context.time().nanos() + RunLeases.longestNanos(context.bounds()));
   }
 
   /** Admits all known workers. */
@@ -162,6 +161,7 @@
       return;
     }
     knownWorkers.put(entry.id(), entry);
+    reported.add(entry.id());
     if (!opened) {
       return;
     }
@@ -194,24 +194,35 @@
   }
 
   /**
-   * Treats unresponsive workers that no running machine hosts as terminated, even though they
-   * cannot be polled.
+   * Treats an unresponsive worker as terminated, even though it cannot be polled, if the list shows
+   * another worker on its machine, or that the machine is not up. A worker whose machine the list
+   * lacks waits for its lease.
    */
-  void machinesListed(final Set<String> activeWorkers, final long requestedAt) {
+  void machinesListed(final MachineInventory machines) {
+    hosts.update(machines, this::startTime);
+    roster.updateMachines(hosts::machineOf);
     for (final WorkerState worker : List.copyOf(fleet.workers())) {
       if (!worker.isResponding()
-          && worker.contact().unresponsiveSince() < requestedAt
+          && worker.contact().unresponsiveSince() < machines.requestedAt()
           && (!worker.runs().isEmpty() || gate.isPending(worker.id()))
-          && !activeWorkers.contains(worker.id())) {
-        context.log().log("worker-ended", "worker", worker.id(), "runs", worker.runs().size());
+          && hosts.hasEnded(worker.entry())) {
+        final String seen = hosts.describe(worker.entry());
+        context.log().log(
+            "worker-ended", "worker", worker.id(), "runs", worker.runs().size(), "machine", seen);
         workerEnded(
-            worker.id(),
-            new DropEvidence(DropReason.MACHINE_LIST, "on no machine that is up", requestedAt));
+            worker.id(), new DropEvidence(DropReason.MACHINE_LIST, seen, machines.requestedAt()));
         callbacks.stateChanged();
       }
     }
   }
 
+  /** Returns the start of the known incarnation of a worker, -1 for one that is not known. */
+  private long startTime(final String id) {
+    final WorkerState worker = fleet.worker(id);
+    final WorkerEntry entry = worker == null ? knownWorkers.get(id) : worker.entry();
+    return entry == null ? -1 : entry.startTimeMillis();
+  }
+
   private void admitted(final WorkerEntry entry) {
     if (closed || fleet.worker(entry.id()) != null) {
       return;
@@ -248,12 +259,29 @@
     }
   }
 
+  /**
+   * Processes that another worker has responded at the address of a worker. It may be that of an
+   * earlier incarnation: the roster keeps the address with which a worker was first admitted. So
+   * only after an entry or a response of the worker itself this shows that its runs have ended.
+   */
+  void workerGone(final WorkerState worker, final DropEvidence evidence) {
+    if (!worker.isSynced() && !reported.contains(worker.id())) {
+      return;
+    }
+    final long now = context.time().nanos();
+    runTracker.workerLost(worker, evidence, now);
+    gate.resolved(worker.id(), evidence, now);
+    if (!worker.isRegistered()) {
+      remove(worker.id(), evidence);
+    }
+  }
+
   /**
    * Removes a worker that is known to have terminated. The next leader starts the tasks of its
    * placements again, so these stay in the store until all outcomes received from it are persisted,
    * and the worker stays on the roster as long as they do.
    */
-  void remove(final String id, final DropEvidence evidence) {
+  private void remove(final String id, final DropEvidence evidence) {
     logRemoved(fleet.worker(id), evidence);
     final WorkerSession session = sessions.remove(id);
     if (session != null) {
--- a/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
+++ b/policy/src/main/java/org/lentilsail/policy/job/RunTracker.java
@@ -197,7 +197,18 @@
    */
   public void workerLost(final WorkerState worker, final DropEvidence evidence, final long now) {
     worker.finishedRuns().moreToCome(false);
-    List.copyOf(worker.runs()).forEach(run -> runLost(run, evidence, now));
+    runsLost(List.copyOf(worker.runs()), evidence, now);
+  }
+
+  /**
+   * Records that runs have ended and that their outcomes can no longer be read.
+   *
+   * @param runs the runs
+   * @param evidence what shows it
+   * @param now monotonic time in ns
+   */
+  public void runsLost(final List<TaskRun> runs, final DropEvidence evidence, final long now) {
+    runs.forEach(run -> runLost(run, evidence, now));
   }
 
   /**
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorker.java
@@ -1,6 +1,5 @@
 package org.lentilsail.standin.jobs;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -91,11 +90,6 @@
     return alive;
   }
 
-  /** Returns whether the worker runs and has an address. */
-  boolean accepts(final InetSocketAddress address) {
-    return alive && entry.address().equals(address);
-  }
-
   int runs() {
     return running.size();
   }
@@ -241,7 +235,7 @@
 
   /** Returns the time in ms of a clock that begins anew with each incarnation. */
   private long clock() {
-    return (long) ((now() - startedAt) * leaseTerms.clockRate()) / NANOS_PER_MILLI;
+    return 1 + (long) ((now() - startedAt) * leaseTerms.clockRate()) / NANOS_PER_MILLI;
   }
 
   private long now() {
--- a/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
+++ b/standin/src/main/java/org/lentilsail/standin/jobs/SimulatedWorkers.java
@@ -1,7 +1,9 @@
 package org.lentilsail.standin.jobs;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -40,7 +42,8 @@
   private final Map<String, SimulatedWorker> workers = new HashMap<>();
   private final Set<String> cutLinks = new HashSet<>();
   private long lateStartMillis;
-  private final HeldPolls heldPolls = new HeldPolls();
+  private final List<Runnable> heldPolls = new ArrayList<>();
+  private Predicate<PollRequest> heldPoll = request -> false;
   private int listLimit = Integer.MAX_VALUE;
   private WorkerLeaseTerms leaseTerms = new WorkerLeaseTerms(MAX_LEASE_MILLIS, 1);
   private String unusable = "";
@@ -127,12 +130,27 @@
   }
 
   /**
-   * Returns the polls that are held back.
+   * Holds the next poll of a kind in the network and leaves it without a reply.
    *
-   * @return the polls
+   * @param kind the kind
    */
-  public HeldPolls heldPolls() {
-    return heldPolls;
+  public void holdPoll(final Predicate<PollRequest> kind) {
+    heldPoll = kind;
+  }
+
+  /**
+   * Returns whether a poll is held.
+   *
+   * @return whether a poll of the kind has been sent and not been delivered
+   */
+  public boolean isPollHeld() {
+    return !heldPolls.isEmpty();
+  }
+
+  /** Delivers the held poll to the incarnation that the worker has now, over any cut. */
+  public void deliverHeldPoll() {
+    heldPolls.forEach(Runnable::run);
+    heldPolls.clear();
   }
 
   /**
@@ -190,13 +208,8 @@
     return workers.get(id).runs();
   }
 
-  /**
-   * Returns the tasks with an active run on a worker.
-   *
-   * @param id id of the worker
-   * @return the tasks
-   */
-  public Set<TaskId> tasks(final String id) {
+  /** Returns the tasks with an active run on a worker. */
+  Set<TaskId> tasks(final String id) {
     return workers.get(id).tasks();
   }
 
@@ -233,18 +246,24 @@
         final WorkerEntry worker, final StartCommand command) {
       if (lateStartMillis > 0 && isReachable(worker)) {
         executor.schedule(
-            () -> executeLate(worker, target -> target.start(command)),
+            () -> ifAlive(worker.id(), target -> target.start(command)),
             lateStartMillis,
             TimeUnit.MILLISECONDS);
-        return delayed(commandReply(CommandResult.UNKNOWN), TIMEOUT_MILLIS);
+        return delayed(Replies.failed(CommandResult.UNKNOWN), TIMEOUT_MILLIS);
       }
-      return call(worker, target -> completed(target.start(command)), Client::commandReply);
+      return call(
+          worker,
+          target -> CompletableFuture.completedFuture(target.start(command)),
+          Replies::failed);
     }
 
     @Override
     public CompletableFuture<CommandReply> stop(
         final WorkerEntry worker, final TaskId task, final int run, final long token) {
-      return call(worker, target -> completed(target.stop(task, run, token)), Client::commandReply);
+      return call(
+          worker,
+          target -> CompletableFuture.completedFuture(target.stop(task, run, token)),
+          Replies::failed);
     }
 
     @Override
@@ -254,7 +273,7 @@
         final int run,
         final int percent,
         final long token) {
-      return completed(new CommandReply(CommandResult.DONE, -1, ""));
+      return CompletableFuture.completedFuture(new CommandReply(CommandResult.DONE, -1, ""));
     }
 
     @Override
@@ -262,18 +281,22 @@
       if (worker.id().equals(unusable)) {
         throw new IllegalArgumentException("the address of " + worker.id() + " cannot be used");
       }
-      if (isReachable(worker)
-          && heldPolls.hold(request, () -> executeLate(worker, target -> target.poll(request)))) {
-        return delayed(pollReply(CommandResult.UNKNOWN), TIMEOUT_MILLIS);
+      if (heldPoll.test(request) && isReachable(worker)) {
+        heldPoll = other -> false;
+        heldPolls.add(() -> ifAlive(worker.id(), target -> target.poll(request)));
+        return delayed(
+            new PollReply(CommandResult.UNKNOWN, Optional.empty(), "no reply"), TIMEOUT_MILLIS);
       }
-      return call(worker, target -> target.poll(request), Client::pollReply);
+      return call(
+          worker,
+          target -> target.poll(request),
+          result -> new PollReply(result, Optional.empty(), "no reply"));
     }
 
-    /** Executes a late call by the incarnation that the worker has now. */
-    private void executeLate(final WorkerEntry worker, final Consumer<SimulatedWorker> call) {
-      final SimulatedWorker target = workers.get(worker.id());
+    private void ifAlive(final String id, final Consumer<SimulatedWorker> action) {
+      final SimulatedWorker target = workers.get(id);
       if (target.isAlive()) {
-        call.accept(target);
+        action.accept(target);
       }
     }
 
@@ -282,25 +305,24 @@
         final Function<SimulatedWorker, CompletableFuture<T>> action,
         final Function<CommandResult, T> failure) {
       final CompletableFuture<T> reply = new CompletableFuture<>();
+      final T fallback = failure.apply(CommandResult.UNKNOWN);
       executor.schedule(
           () -> {
-            if (isReachable(worker)) {
+            if (!isAtAddress(worker)) {
+              delayed(failure.apply(CommandResult.GONE), NETWORK_DELAY_MILLIS)
+                  .thenAccept(reply::complete);
+            } else if (isReachable(worker)) {
+              final SimulatedWorker target = workers.get(worker.id());
               action
-                  .apply(workers.get(worker.id()))
+                  .apply(target)
                   .thenAccept(
-                      value ->
-                          delayed(
-                                  isReachable(worker)
-                                      ? value
-                                      : failure.apply(CommandResult.UNKNOWN),
-                                  NETWORK_DELAY_MILLIS)
-                              .thenAccept(reply::complete));
+                      value -> {
+                        final boolean received = target.isAlive() && isReachable(worker);
+                        delayed(received ? value : fallback, NETWORK_DELAY_MILLIS)
+                            .thenAccept(reply::complete);
+                      });
             } else {
-              final boolean gone = isTakenOver(worker);
-              delayed(
-                      failure.apply(gone ? CommandResult.GONE : CommandResult.UNKNOWN),
-                      gone ? NETWORK_DELAY_MILLIS : TIMEOUT_MILLIS)
-                  .thenAccept(reply::complete);
+              delayed(fallback, TIMEOUT_MILLIS).thenAccept(reply::complete);
             }
           },
           NETWORK_DELAY_MILLIS,
@@ -308,37 +330,19 @@
       return reply;
     }
 
-    private boolean isReachable(final WorkerEntry worker) {
+    /** Returns false for the address of an earlier incarnation, which another worker has taken. */
+    private boolean isAtAddress(final WorkerEntry worker) {
       final SimulatedWorker target = workers.get(worker.id());
-      return target != null && target.accepts(worker.address()) && hasLink(worker.id());
-    }
-
-    /** Returns whether another worker replies at the address of a worker. */
-    private boolean isTakenOver(final WorkerEntry worker) {
-      return workers.values().stream()
-          .anyMatch(other -> other.accepts(worker.address()) && hasLink(other.entry().id()));
+      return target == null || target.entry().address().equals(worker.address());
     }
 
-    private boolean hasLink(final String worker) {
-      return !cutLinks.contains(daemon + '/' + worker);
+    private boolean isReachable(final WorkerEntry worker) {
+      final SimulatedWorker target = workers.get(worker.id());
+      return target != null && target.isAlive() && !cutLinks.contains(daemon + '/' + worker.id());
     }
 
     private <T> CompletableFuture<T> delayed(final T value, final long millis) {
-      final CompletableFuture<T> reply = new CompletableFuture<>();
-      executor.schedule(() -> reply.complete(value), millis, TimeUnit.MILLISECONDS);
-      return reply;
-    }
-
-    private static <T> CompletableFuture<T> completed(final T value) {
-      return CompletableFuture.completedFuture(value);
-    }
-
-    private static CommandReply commandReply(final CommandResult failure) {
-      return new CommandReply(failure, -1, "no reply");
-    }
-
-    private static PollReply pollReply(final CommandResult failure) {
-      return new PollReply(failure, Optional.empty(), "no reply");
+      return Replies.delayed(executor, value, millis);
     }
   }
 }
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SimulatedDeployment.java
@@ -162,44 +162,21 @@
 
   /** Starts a worker with the given CPU capacity in millicores and registers it in the store. */
   void startWorker(final String id, final long cpuMillis) {
-    startWorker(id, address(id), cpuMillis, 1);
-  }
-
-  private void startWorker(
-      final String id,
-      final InetSocketAddress address,
-      final long cpuMillis,
-      final long startTimeMillis) {
     final WorkerEntry entry =
         new WorkerEntry(
             id,
             SERVICE,
-            address,
+            InetSocketAddress.createUnresolved("10.0.0.1", 80),
             "north",
             false,
             new Resources(cpuMillis, 8_000, 0),
             List.of("a", "rack-1"),
-            startTimeMillis);
+            1);
     entries.put(id, entry);
     workers.start(entry);
     writeEntry(id);
   }
 
-  private static InetSocketAddress address(final String host) {
-    return InetSocketAddress.createUnresolved(host, 80);
-  }
-
-  /** Restarts a worker under its id at another address. */
-  void moveWorker(final String id) {
-    workers.crash(id);
-    startWorker(id, address(id + "-moved"), 8_000, entries.get(id).startTimeMillis() + 1);
-  }
-
-  /** Starts a worker at the first address of another one. */
-  void startWorkerAtAddressOf(final String earlier, final String id) {
-    startWorker(id, address(earlier), 8_000, 1);
-  }
-
   /** Restarts a worker, whose entry in the store stays that of the earlier incarnation. */
   void restartWorker(final String id) {
     final WorkerEntry earlier = entries.get(id);
@@ -224,6 +201,25 @@
     writeEntry(id);
   }
 
+  /** Ends a worker and starts it again under the same id at another address, with a new entry. */
+  void reviveWorkerElsewhere(final String id) {
+    final WorkerEntry earlier = entries.get(id);
+    final WorkerEntry entry =
+        new WorkerEntry(
+            id,
+            SERVICE,
+            InetSocketAddress.createUnresolved("10.0.0.2", 80),
+            earlier.zone(),
+            false,
+            earlier.capacity(),
+            earlier.labels(),
+            earlier.startTimeMillis() + 1);
+    workers.fail(id);
+    entries.put(id, entry);
+    workers.start(entry);
+    writeEntry(id);
+  }
+
   /** Writes the latest entry of a worker. */
   void writeEntry(final String id) {
     store.put("servers/" + id, id.getBytes(StandardCharsets.UTF_8));
@@ -249,6 +245,12 @@
     machines.put(machine("m-" + worker, SERVICE, MachineState.DOWN, ""));
   }
 
+  /** Shows the machine of a worker in the list of machines in another state. */
+  void showMachineOf(
+      final String worker, final String pool, final MachineState state, final String id) {
+    machines.put(machine("m-" + worker, pool, state, id));
+  }
+
   private void addMachine(final String id, final String pool, final String worker) {
     machines.put(machine(id, pool, MachineState.UP, worker));
   }
