Keep the state of a leader whose own claim another write sees first

What callers saw: tasks that had ended as done started again after the store had refused calls for 3.5 s, although no daemon was lost. The ends were known to the leader alone, since it could not write them, and it forgot them itself.

Cause: in the outage the lease of the leader ends, and it claims the next term as the store returns. A write of progress in the earlier term, or the watch of lead/, finds that new term before the answer to the claim has arrived. The leader took it for another daemon's and closed its job control; the claim then counted as that of a new leader, which reads everything from the store.

Change: while a claim of its own is in flight a newer term is a doubt, and the outcome of the claim decides. The daemon has no valid lease meanwhile, so it starts nothing and renews no lease. A term item that is not its own still ends its leadership at once. The roster repeats a write that found the newer term, as the other writers do already.

--- a/library/src/main/java/org/lentilsail/jobs/Election.java
+++ b/library/src/main/java/org/lentilsail/jobs/Election.java
@@ -50,6 +50,12 @@
   private long termRevision;
   private Term ownTerm;
 
+  /** The term of a claim whose outcome is not known yet, null for none. */
+  private TermDocument claimInFlight;
+
+  /** Whether a transaction has found a newer term, which may be that of the claim in flight. */
+  private boolean doubted;
+
   Election(
       final KeyValueStore store,
       final String daemon,
@@ -123,9 +129,16 @@
     lease.suspect();
   }
 
-  /** Reports that a transaction has found a newer term. */
+  /**
+   * Reports that a transaction has found a newer term. It may be the one that this daemon claims
+   * itself, of which the answer has not arrived; then the outcome of the claim decides.
+   */
   void superseded() {
-    loseLeadership("a transaction found a newer term");
+    if (claimInFlight != null) {
+      doubted = true;
+    } else {
+      loseLeadership("a transaction found a newer term");
+    }
   }
 
   @Override
@@ -194,7 +207,7 @@
     knownTerm = document.term();
     termRevision = revision;
     capacity.observe(document.processor());
-    if (ownTerm != null && document.term() > ownTerm.number()) {
+    if (ownTerm != null && document.term() > ownTerm.number() && !document.equals(claimInFlight)) {
       loseLeadership("daemon " + document.holder() + " has claimed term " + document.term());
     }
   }
@@ -203,6 +216,7 @@
     if (ownTerm != null) {
       log.log("control-lost", "term", ownTerm.number(), "reason", reason);
       ownTerm = null;
+      doubted = false;
       lease.forget();
       listener.leadershipLost();
     }
@@ -237,6 +251,7 @@
     final long termNumber = knownTerm + 1;
     final String claimId = daemon + '/' + granted.id();
     final TermDocument document = new TermDocument(termNumber, daemon, capacity.ownCpuMillis());
+    claimInFlight = document;
     final Transaction transaction =
         Transaction.empty()
             .requireRevision(StoreKeys.LEADER, 0)
@@ -267,6 +282,7 @@
       return;
     }
     lease.discard(granted);
+    claimInFlight = null;
     result.currentItems().forEach(this::applyItem);
     claimFailed("another daemon has claimed the term");
   }
@@ -296,6 +312,8 @@
   private void claimSucceeded(
       final GrantedLease granted, final long sentAt, final long termNumber, final long revision) {
     claiming = false;
+    claimInFlight = null;
+    doubted = false;
     if (resigned) {
       lease.discard(granted);
       return;
@@ -312,6 +330,10 @@
 
   private void claimFailed(final String reason) {
     log.log("control-claim-failed", "term", knownTerm + 1, "reason", reason);
+    claimInFlight = null;
+    if (doubted) {
+      loseLeadership("a transaction found a newer term");
+    }
     retries.schedule(
         () -> {
           claiming = false;
--- a/library/src/main/java/org/lentilsail/jobs/Roster.java
+++ b/library/src/main/java/org/lentilsail/jobs/Roster.java
@@ -131,7 +131,10 @@
         Callbacks.forEach("roster member", newMembers, this::admitPersisted);
         write();
       }
-      case SUPERSEDED -> superseded.run();
+      case SUPERSEDED -> {
+        superseded.run();
+        retryLater();
+      }
       default -> retryLater();
     }
   }
--- a/library/src/test/java/org/lentilsail/jobs/RosterTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/RosterTest.java
@@ -22,6 +22,7 @@
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.model.time.ManualTimeSource;
 import org.lentilsail.store.KeyValueStore;
+import org.lentilsail.store.StoredItem;
 import org.lentilsail.store.TransactionResult;
 
 class RosterTest {
@@ -61,6 +62,20 @@
     assertThat(admitted, is(empty()));
   }
 
+  /**
+   * Guards against a worker that is never admitted: its write found the term that the daemon was
+   * claiming itself, and nothing repeated it in that term.
+   */
+  @Test
+  void writeThatFindsNewerTermIsRepeatedWhileNotClosed() {
+    final StoredItem newerTerm = new StoredItem(StoreKeys.TERM, new byte[0], 9);
+    roster.admit(entry("w1", 8_000));
+    commits.get(0).complete(new TransactionResult(false, 0, List.of(newerTerm)));
+    executor.advance(AFTER_RETRY_DELAY);
+    applied(1);
+    assertThat(admitted, is(List.of("w1@8000")));
+  }
+
   @Test
   void memberOfPersistedRosterIsAdmittedAtOnce() {
     roster.restore(List.of(entry("w1", 8_000)));
