Let registry entries expire and writes of one kind fail in JobLife

Each worker's entry was written once, so random plays never took a live worker for gone. Now entries of live workers expire and return, also around outages of the store for all daemons that end with lost history; writes of progress, roster or placements fail on their own meanwhile, and a leader may be lost once workers have left.

--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
@@ -40,6 +40,9 @@
 
   private static final int JOBS = 40;
 
+  /** Prefixes of the keys whose writes may fail on their own. */
+  private static final List<String> WRITTEN_PREFIXES = List.of("p/", "roster", "at/");
+
   /** Limit in ms of the delay of answers, well below the timeout of a call. */
   private static final int MAX_ANSWER_DELAY_MILLIS = 400;
 
@@ -54,14 +57,23 @@
   private final Set<String> deadWorkers = new LinkedHashSet<>();
   private final Map<String, Client> clients = new LinkedHashMap<>();
   private final Set<String> violations = new LinkedHashSet<>();
+  private final EntryFaults entryFaults;
   private int daemonCount;
   private int workerCount;
   private boolean calm;
 
+  /** Time in ms without further faults, in which a leader may take workers for gone. */
+  private int quietMillis;
+
   JobLife(final long seed) {
     random = new Random(seed);
     deployment = new SimulatedDeployment(this::durationMillis);
     deployment.workers.failWhen(this::fails);
+    entryFaults =
+        new EntryFaults(
+            deployment,
+            random,
+            worker -> workers.contains(worker) && !deadWorkers.contains(worker));
   }
 
   /** Writes the runs and the logs of the daemons to files. */
@@ -134,9 +146,10 @@
 
   private void scheduleFault() {
     later(
-        100 + random.nextInt(1_400),
+        100 + random.nextInt(1_400) + quietMillis,
         () -> {
           if (!calm) {
+            quietMillis = 0;
             beginFault();
             scheduleFault();
           }
@@ -144,7 +157,7 @@
   }
 
   private void beginFault() {
-    switch (random.nextInt(14)) {
+    switch (random.nextInt(17)) {
       case 0, 1 -> stopPlanned(anyDaemon());
       case 2, 3 -> killLeaderAndPerhapsTheNext();
       case 4 -> killAll();
@@ -160,6 +173,9 @@
       case 10 -> replaceWorker();
       case 11 -> configure(random.nextBoolean());
       case 12 -> slowStore(random.nextInt(3_000));
+      case 13 -> expireEntries();
+      case 14 -> outageWithLostHistory();
+      case 15 -> failWrites(200 + random.nextInt(5_000));
       default -> {
         deployment.workers.delayStarts(300 + random.nextInt(2_200));
         later(100 + random.nextInt(400), () -> deployment.workers.delayStarts(0));
@@ -246,6 +262,48 @@
     }
   }
 
+  /** Removes entries of live workers; the leader may be lost when some of them have left. */
+  private void expireEntries() {
+    quietMillis = 2_500 + random.nextInt(1_500);
+    entryFaults.expireSome(workers, 1 + random.nextInt(3));
+    if (random.nextBoolean()) {
+      failWrites(quietMillis + random.nextInt(1_500));
+    }
+    if (random.nextBoolean()) {
+      later(quietMillis, this::killLeader);
+    }
+  }
+
+  /** Takes the store away from all daemons; it returns without its history and some entries. */
+  private void outageWithLostHistory() {
+    final StoreFault fault = randomFault();
+    final int millis = 200 + random.nextInt(4_300);
+    List.copyOf(alive.keySet()).forEach(daemon -> disturbStore(daemon, fault, millis));
+    later(millis - random.nextInt(200), deployment.store::compact);
+    later(
+        random.nextInt(millis),
+        () -> {
+          if (!calm) {
+            expireEntries();
+          }
+        });
+  }
+
+  /** Fails the writes of one kind of all daemons, while the store serves their other calls. */
+  private void failWrites(final int millis) {
+    final String prefix = WRITTEN_PREFIXES.get(random.nextInt(WRITTEN_PREFIXES.size()));
+    final StoreFault fault = randomFault();
+    for (final String daemon : alive.keySet()) {
+      deployment.store.faultWrites(daemon, prefix, fault);
+      later(millis, () -> deployment.store.faultWrites(daemon, prefix, StoreFault.NONE));
+    }
+  }
+
+  private void repairWrites(final String daemon) {
+    WRITTEN_PREFIXES.forEach(
+        prefix -> deployment.store.faultWrites(daemon, prefix, StoreFault.NONE));
+  }
+
   private void cutWorkers(final String daemon) {
     final int share = 2 + random.nextInt(6);
     for (final String worker : workers) {
@@ -311,6 +369,8 @@
     List.copyOf(faultyStores).forEach(this::repairStore);
     alive.keySet().forEach(daemon -> workers.forEach(worker -> repairLink(daemon, worker)));
     List.copyOf(deadWorkers).forEach(this::reviveWorker);
+    entryFaults.restoreAll();
+    alive.keySet().forEach(this::repairWrites);
     deployment.workers.delayStarts(0);
     alive.keySet().forEach(daemon -> deployment.store.delayAnswers(daemon, () -> 0));
     while (alive.size() < Math.min(3, daemonTotal)) {
