Send the call whose connection has to be reset before it times out

Cause: the call had its timeout of 200 ms before its connection was open, so not a byte was sent and the connection was just closed, which is right. The test now has a timeout of 1 s and first reads a byte of the request, so that it also shows that the call was sent; the reset is asked for as before.

--- a/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
+++ b/library/src/test/java/org/lentilsail/http/UndertowHttpCallerTest.java
@@ -93,13 +93,15 @@
     }
   }
 
+  /** The call has to be sent first: a connection without any byte of a request is just closed. */
   @Test
   void resetsTheConnectionOfCallThatTimedOut() throws Exception {
     try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       final InetSocketAddress address =
           new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
-      final CompletableFuture<HttpResponse> call = caller.call(get(address, 200));
+      final CompletableFuture<HttpResponse> call = caller.call(get(address, 1_000));
       try (Socket accepted = server.accept()) {
+        assertThat(accepted.getInputStream().read(), is((int) 'G'));
         assertThrows(ExecutionException.class, call::get);
         assertThrows(SocketException.class, () -> accepted.getInputStream().readAllBytes());
       }
