--- a/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/JobLife.java
@@ -40,8 +40,8 @@
 
   private static final int JOBS = 40;
 
-  /** Prefixes of the keys whose writes may fail on their own. */
-  private static final List<String> WRITTEN_PREFIXES = List.of("p/", "roster", "at/");
+  /** Prefixes of the keys whose writes may fail on their own, most often those of progress. */
+  private static final List<String> WRITTEN_PREFIXES = List.of("p/", "p/", "p/", "roster", "at/");
 
   /** Limit in ms of the delay of answers, well below the timeout of a call. */
   private static final int MAX_ANSWER_DELAY_MILLIS = 400;
@@ -266,10 +266,10 @@
   private void expireEntries() {
     quietMillis = 2_500 + random.nextInt(1_500);
     entryFaults.expireSome(workers, 1 + random.nextInt(3));
-    if (random.nextBoolean()) {
+    if (random.nextInt(4) > 0) {
       failWrites(quietMillis + random.nextInt(1_500));
     }
-    if (random.nextBoolean()) {
+    if (random.nextInt(4) > 0) {
       later(quietMillis, this::killLeader);
     }
   }
