--- a/library/src/test/java/org/lentilsail/jobs/OwnClaimTest.java
+++ b/library/src/test/java/org/lentilsail/jobs/OwnClaimTest.java
@@ -127,6 +127,25 @@
     assertThat(events, is(List.of("elected 1 false", "lost")));
   }
 
+  /**
+   * Guards against state that is forgotten as the answer to the own claim and its read were lost.
+   */
+  @Test
+  void ownTermOfUnconfirmedClaimKeepsState() {
+    Sight.WATCH.of(this, "d1");
+    readsFail = true;
+    claims
+        .remove()
+        .completeExceptionally(
+            new LentilsailException(ErrorCode.OUTCOME_UNKNOWN, "no answer", "read back"));
+    executor.advance(Duration.ofMillis(50));
+    readsFail = false;
+    executor.advance(Duration.ofMillis(2_000));
+    assertThat(claims.size(), is(1));
+    answer(new TransactionResult(true, SECOND_REVISION + 10, List.of()));
+    assertThat(events, is(List.of("elected 1 false", "elected 3 true")));
+  }
+
   private void answer(final TransactionResult result) {
     claims.remove().complete(result);
     executor.advance(Duration.ofMillis(10));
