--- a/library/src/main/java/org/lentilsail/jobs/JobControl.java
+++ b/library/src/main/java/org/lentilsail/jobs/JobControl.java
@@ -94,7 +94,7 @@
     scheduler = new Scheduler(jobs, fleet, runTracker, gate);
     advice = new AdviceRunner(context, new AdvicePlanner(jobs, fleet), this::stateChanged);
     progressWriter = new ProgressWriter(context, jobs, items, election::superseded);
-    workers = createWorkers(runLog);
+    workers = createWorkers();
     placements = createPlacements();
     machines =
         new MachineControl(
@@ -117,13 +117,12 @@
     jobs.configuration(configuration);
   }
 
-  private LeaderWorkers createWorkers(final RunLog runLog) {
+  private LeaderWorkers createWorkers() {
     return new LeaderWorkers(
         context,
         fleet,
         runTracker,
         gate,
-        runLog,
         items,
         this,
         this::registryLoaded,
--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -13,7 +13,6 @@
 import org.lentilsail.model.job.TaskId;
 import org.lentilsail.model.job.WorkerEntry;
 import org.lentilsail.policy.job.DropEvidence;
-import org.lentilsail.policy.job.DropListener;
 import org.lentilsail.policy.job.DropReason;
 import org.lentilsail.policy.job.Fleet;
 import org.lentilsail.policy.job.MachineInventory;
@@ -35,7 +34,6 @@
   private final Fleet fleet;
   private final RunTracker runTracker;
   private final RecoveryGate gate;
-  private final DropListener drops;
   private final SessionCallbacks callbacks;
   private final WorkerRegistry registry;
   private final Roster roster;
@@ -59,7 +57,6 @@
       final Fleet fleet,
       final RunTracker runTracker,
       final RecoveryGate gate,
-      final DropListener drops,
       final LeaderItems items,
       final SessionCallbacks callbacks,
       final Runnable loaded,
@@ -70,7 +67,6 @@
     this.runTracker = runTracker;
     this.gate = gate;
     tokens = new WorkerTokens(items);
-    this.drops = drops;
     this.callbacks = callbacks;
     this.placementRemoval = placementRemoval;
     registry = new WorkerRegistry(context, this, loaded);
