Do not send queued starts to a worker that has become silent

What callers could see: tasks that wait long for a worker that cannot be reached. Change: such a start is refused as not sent, which frees its task at once.

--- a/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerCommands.java
@@ -112,9 +112,10 @@
       // The run was abandoned while its command was queued; its task may have started elsewhere.
       return null;
     }
-    if (run.phase() == RunPhase.STOPPING || !callbacks.isLeader() || !worker.clock().isKnown()) {
-      final String seen = run.phase() == RunPhase.STOPPING ? "being stopped" : "no lease or clock";
-      runTracker.startRejected(run, new DropEvidence(DropReason.START_NOT_SENT, seen, now), now);
+    final String obstacle = obstacle(run);
+    if (!obstacle.isEmpty()) {
+      runTracker.startRejected(
+          run, new DropEvidence(DropReason.START_NOT_SENT, obstacle, now), now);
       callbacks.stateChanged();
       return null;
     }
@@ -134,6 +135,21 @@
                 run.task().step().permits().validPermit(worker, now)));
   }
 
+  /**
+   * Returns why a start must not be sent, empty for no reason. One to a worker that has become
+   * silent while it was queued would extend the lease of all runs there, and so postpone the time
+   * at which they are known to have ended.
+   */
+  private String obstacle(final TaskRun run) {
+    if (run.phase() == RunPhase.STOPPING) {
+      return "being stopped";
+    }
+    if (!callbacks.isLeader() || !worker.clock().isKnown()) {
+      return "no lease or clock";
+    }
+    return worker.isResponding() ? "" : "silent worker";
+  }
+
   /**
    * Handles the reply to a command. The reply does not tell which incarnation of the worker sent
    * it, so one to a command that was sent before a restart became known shows neither the clock of
--- a/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
+++ b/library/src/test/java/org/lentilsail/jobs/SessionFixture.java
@@ -123,6 +123,7 @@
     final JobRun accepted =
         jobs.accept(new SubmittedJob("holds", "booking", 0, spec, null, ""), 0, time.nanos());
     worker.clock().recordReading(1_000, time.nanos());
+    worker.contact().markResponding();
     return runTracker.start(accepted.steps().get(0).tasks().get(0), worker, 0, time.nanos());
   }
 
