Take an ended worker off the roster although its last report was full

What operators could see: a worker that ended after a full list of finished runs, without runs, stayed on the roster and was polled until the leader changed. Cause: since a worker is removed only when all its ends are stored, and the mark that it has more of them was cleared only with expired runs. Change: without runs it is cleared once no lease can be left.

--- a/library/src/main/java/org/lentilsail/jobs/RunLeases.java
+++ b/library/src/main/java/org/lentilsail/jobs/RunLeases.java
@@ -112,7 +112,12 @@
     if (clockKnown && worker.clock().lowerBound(now) <= worker.leaseExpiry()) {
       return false;
     }
-    return run.isListed() ? clockKnown : now - lastGrantAt > longestNanos(context.bounds());
+    return run.isListed() ? clockKnown : haveAllExpired(now);
+  }
+
+  /** Returns whether no call to any incarnation of the worker can hold a lease any more. */
+  boolean haveAllExpired(final long now) {
+    return now - lastGrantAt > longestNanos(context.bounds());
   }
 
   /** Returns the time in ns after a call at which no lease that it has extended is valid. */
--- a/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
+++ b/library/src/main/java/org/lentilsail/jobs/WorkerSession.java
@@ -127,6 +127,11 @@
     if (worker.isResponding()) {
       return;
     }
+    if (worker.runs().isEmpty() && leases.haveAllExpired(now)) {
+      // Finished runs that it has not listed yet will not be read any more, or do not count.
+      runTracker.workerLost(worker, SessionEvidence.leaseExpired(worker, now), now);
+      return;
+    }
     final List<TaskRun> expired =
         worker.runs().stream().filter(run -> leases.hasExpired(run, now)).toList();
     if (!expired.isEmpty()) {
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SilentWorkerTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SilentWorkerTest.java
@@ -1,13 +1,17 @@
 package org.lentilsail.standin.jobs;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lentilsail.jobs.JobNode;
@@ -70,4 +74,28 @@
     }
     assertThat(millis, is(lessThan(LONGEST_LEASE_MILLIS + DETECTION_MILLIS)));
   }
+
+  /** Guards against an ended worker that stays: its last report was full and it had no runs. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2})
+  void endedWorkerWithFullReportAndWithoutRunsLeavesTheRoster(final int limit) {
+    deployment.workers.limitListedRuns(limit);
+    deployment.store.faultWrites("d1", "p/", StoreFault.REFUSED);
+    deployment.submit(second, JOB, SimulatedDeployment.step(limit));
+    deployment.advance(Duration.ofMillis(1_000));
+    deployment.workers.fail("w1");
+    deployment.expireEntry("w1");
+    deployment.stopMachineOf("w1");
+    deployment.store.faultWrites("d1", "p/", StoreFault.NONE);
+    deployment.advance(Duration.ofSeconds(60));
+    assertThat(roster(), not(containsString("w1")));
+  }
+
+  private String roster() {
+    return deployment
+        .store
+        .get("roster")
+        .map(item -> new String(item.value(), StandardCharsets.UTF_8))
+        .orElse("");
+  }
 }
