Remove a worker whose entry went before it was admitted

What operators could see: a worker that is gone stays on the roster for good, and is polled. Cause: its entry was removed while the write of the roster was refused; the write then admitted it as registered, and nothing told of its removal again. Change: it is admitted as deregistered, so that it is removed once it is known to run nothing.

--- a/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
+++ b/library/src/main/java/org/lentilsail/jobs/LeaderWorkers.java
@@ -225,6 +225,10 @@
     }
     context.log().log("worker-admitted", "worker", entry.id(), "service", entry.service());
     final WorkerState worker = new WorkerState(entry, context.time().nanos());
+    if (!knownWorkers.containsKey(entry.id())) {
+      // Its entry went while the roster was written, and nothing else would tell that it is gone.
+      worker.markUnregistered();
+    }
     fleet.add(worker);
     final WorkerSession session = new WorkerSession(context, worker, runTracker, tokens, callbacks);
     sessions.put(entry.id(), session);
--- a/standin/src/test/java/org/lentilsail/standin/jobs/SilentWorkerTest.java
+++ b/standin/src/test/java/org/lentilsail/standin/jobs/SilentWorkerTest.java
@@ -91,6 +91,20 @@
     assertThat(roster(), not(containsString("w1")));
   }
 
+  /** Guards against a worker that is admitted for good after its entry has gone. */
+  @Test
+  void workerWhoseEntryWentBeforeItsAdmissionLeavesTheRoster() {
+    deployment.store.faultWrites("d1", "roster", StoreFault.REFUSED);
+    deployment.startWorker("w2");
+    deployment.advance(Duration.ofMillis(500));
+    deployment.workers.fail("w2");
+    deployment.expireEntry("w2");
+    deployment.advance(Duration.ofMillis(2_800));
+    deployment.store.faultWrites("d1", "roster", StoreFault.NONE);
+    deployment.advance(Duration.ofSeconds(60));
+    assertThat(roster(), not(containsString("w2")));
+  }
+
   private String roster() {
     return deployment
         .store
